--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on real processes over loopback, and the demonstration."""
--- /dev/null
+++ b/turmericrudder/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with ``python -m turmericrudder``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/turmericrudder/cli/config.py
@@ -0,0 +1,168 @@
+"""Commands for templates, parameters and revisions."""
+
+import difflib
+import time
+
+import typer
+
+from ..configuration import compile_source, read_source
+from ..errors import ConfigurationMissing
+from .exits import ExitCode
+from .session import OPERATOR, run
+from .waiting import wait_in_force
+
+__all__ = ["app", "finish"]
+
+app = typer.Typer(no_args_is_help=True, help="Templates, parameters and revisions.")
+
+_WAIT = typer.Option(False, "--wait", help="Return when it is in force everywhere")
+_WAIT_LIMIT = typer.Option(10.0, help="Seconds to wait at most")
+_NOTE = typer.Option("", help="Why, for the history")
+
+
+@app.command()
+def check(directory: str) -> None:
+    """Compile the INI files of a directory without the store."""
+    configuration = compile_source(read_source(directory))
+    typer.echo(
+        f"ok: {configuration.workspace}, {len(configuration.services)} services, "
+        f"{len(configuration.targets)} targets, "
+        f"{configuration.blocks.block_count} blocks"
+    )
+
+
+@app.command()
+def plan(directory: str, operator: str = OPERATOR) -> None:
+    """Show what applying a directory would change."""
+    source = read_source(directory)
+    compile_source(source)
+    revision, current = run(operator, _get_current)
+    typer.echo(f"against revision {revision}")
+    for line in _iter_changes(current, source):
+        typer.echo(line)
+
+
+@app.command()
+def apply(
+    directory: str,
+    operator: str = OPERATOR,
+    note: str = _NOTE,
+    expect: int = typer.Option(None, help="Refuse unless this revision is accepted"),
+    wait: bool = _WAIT,
+    wait_limit: float = _WAIT_LIMIT,
+) -> None:
+    """Make the INI files of a directory the accepted revision."""
+    source = read_source(directory)
+    manifest = run(operator, _accept, source, note, expect)
+    finish(operator, manifest, wait, wait_limit)
+
+
+@app.command()
+def show(operator: str = OPERATOR, file: str = "parameters") -> None:
+    """Print the accepted templates, parameters, blocks or drained names."""
+    revision, source = run(operator, _get_current)
+    if source is None:
+        raise ConfigurationMissing("no revision is accepted")
+    typer.echo(f"# revision {revision}")
+    match file:
+        case "templates":
+            typer.echo(source.templates)
+        case "parameters":
+            typer.echo(source.parameters)
+        case "drained":
+            typer.echo("\n".join(source.drained))
+        case "blocks":
+            for start, length, place in source.blocks:
+                typer.echo(f"{_format_block(start, length)} = {place}")
+        case _:
+            raise typer.BadParameter("templates, parameters, blocks or drained")
+
+
+@app.command()
+def history(operator: str = OPERATOR, limit: int = 20) -> None:
+    """List accepted revisions, newest first."""
+    for manifest in run(operator, _get_history, limit):
+        stamp = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(manifest.time))
+        typer.echo(f"{manifest.revision}\t{stamp}\t{manifest.author}\t{manifest.note}")
+
+
+@app.command()
+def rollback(
+    revision: int,
+    operator: str = OPERATOR,
+    wait: bool = _WAIT,
+    wait_limit: float = _WAIT_LIMIT,
+) -> None:
+    """Accept the content of an older revision as a new one."""
+    manifest = run(operator, _roll_back, revision)
+    finish(operator, manifest, wait, wait_limit)
+
+
+def finish(operator, manifest, wait, wait_limit):
+    """Tell of an accepted revision; with ``wait`` until it is in force."""
+    typer.echo(f"accepted revision {manifest.revision}")
+    if not wait:
+        return
+    behind, seconds = run(operator, wait_in_force, manifest.revision, wait_limit)
+    if behind:
+        typer.echo(f"not in force after {seconds:.1f} s at: {', '.join(behind)}")
+        raise typer.Exit(ExitCode.NOT_IN_FORCE)
+    typer.echo(f"in force everywhere after {seconds:.1f} s")
+
+
+async def _get_current(session):
+    try:
+        manifest, source = await session.repository.get_current()
+    except ConfigurationMissing:
+        return 0, None
+    return manifest.revision, source
+
+
+async def _accept(session, source, note, expect):
+    # What operators drained stays drained until they say otherwise.
+    revision, current = await _get_current(session)
+    if current is not None:
+        for name in current.drained:
+            source = source.drain(name)
+    if expect is None:
+        expect = revision
+    return await session.repository.accept(
+        source, session.settings.author, note, expect
+    )
+
+
+async def _get_history(session, limit):
+    found = []
+    async for manifest in session.repository.iter_history():
+        found.append(manifest)
+        if len(found) == limit:
+            break
+    return found
+
+
+async def _roll_back(session, revision):
+    latest = None
+    async for manifest in session.repository.iter_history():
+        latest = latest or manifest.revision
+        if manifest.revision == revision:
+            source = await session.repository.get_source(manifest)
+            return await session.repository.accept(
+                source, session.settings.author, f"rollback to {revision}", latest
+            )
+    raise ConfigurationMissing(f"no revision {revision} in the history")
+
+
+def _iter_changes(before, after):
+    for name in ("templates", "parameters"):
+        old = getattr(before, name).splitlines() if before else []
+        new = getattr(after, name).splitlines()
+        yield from difflib.unified_diff(old, new, name, name, lineterm="", n=1)
+    old_blocks = set(before.blocks) if before else set()
+    new_blocks = set(after.blocks)
+    yield f"blocks: {len(new_blocks - old_blocks)} new or changed, "
+    yield f"        {len(old_blocks - new_blocks)} gone or changed"
+
+
+def _format_block(start, length):
+    octets = ".".join(str(start >> shift & 255) for shift in (24, 16, 8, 0))
+    return f"{octets}/{length}"
--- /dev/null
+++ b/turmericrudder/cli/session.py
@@ -0,0 +1,96 @@
+"""What the operators' commands share: settings, store and instances."""
+
+import contextlib
+
+import anyio
+import httpcore
+import msgspec
+import typer
+
+from ..configuration import Repository
+from ..daemon.status import InstanceStatus
+from ..errors import PeerUnreachable
+from ..settings import read_operator_settings
+from ..store import StoreClient
+
+__all__ = ["OPERATOR", "Session", "run"]
+
+OPERATOR = typer.Option(
+    "operator.ini", envvar="TURMERICRUDDER_OPERATOR", help="INI file of the operator"
+)
+STATUS_TIMEOUT = 2.0  # seconds
+
+
+class Session:
+    """An operator's access to the store and the entry instances."""
+
+    __slots__ = ("_store", "repository", "settings")
+
+    def __init__(self, settings):
+        self.settings = settings
+        self._store = StoreClient(settings.store)
+        self.repository = Repository(self._store, settings.workspace)
+
+    async def aclose(self):
+        """Close all connections."""
+        await self._store.aclose()
+
+    async def get_statuses(self):
+        """Return the status of every instance that one reachable one knows.
+
+        :returns: ({name: status}, {names that do not answer}).
+        :raises PeerUnreachable: if no configured entry instance answers.
+        """
+        first = await self._get_first()
+        found, silent = {first.name: first}, set()
+        async with anyio.create_task_group() as tasks:
+            for member in first.members:
+                if member.name != first.name and member.status in ("live", "leaving"):
+                    tasks.start_soon(self._add_status, member, found, silent)
+        return found, silent
+
+    async def get_status(self, address):
+        """Return the status of the instance at a peer address.
+
+        :raises PeerUnreachable: if it does not answer.
+        """
+        headers = {"Turmericrudder-Peer-Key": self.settings.peer_key}
+        limits = dict.fromkeys(("connect", "read", "write", "pool"), STATUS_TIMEOUT)
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request(
+                    "GET",
+                    f"http://{address}/status",
+                    headers=headers,
+                    extensions={"timeout": limits},
+                )
+        except (httpcore.NetworkError, httpcore.TimeoutException) as exc:
+            raise PeerUnreachable(f"{address}: {exc!r}") from None
+        if response.status != 200:
+            raise PeerUnreachable(f"{address}: status {response.status}")
+        return msgspec.json.decode(response.content, type=InstanceStatus)
+
+    async def _get_first(self):
+        for address in self.settings.entries:
+            with contextlib.suppress(PeerUnreachable):
+                return await self.get_status(address)
+        raise PeerUnreachable("none of the operator's entry instances answers")
+
+    async def _add_status(self, member, found, silent):
+        try:
+            found[member.name] = await self.get_status(member.peers)
+        except PeerUnreachable:
+            silent.add(member.name)
+
+
+def run(operator, function, *args):
+    """Run an async function with a :class:`Session` and return its result."""
+
+    async def call():
+        session = Session(read_operator_settings(operator))
+        try:
+            return await function(session, *args)
+        finally:
+            await session.aclose()
+
+    return anyio.run(call)
--- /dev/null
+++ b/turmericrudder/configuration/compiler.py
@@ -0,0 +1,214 @@
+"""Compile a source into a configuration, or say where it is wrong."""
+
+import re
+
+from ..address import Address
+from ..errors import AddressInvalid, ConfigurationInvalid
+from ..ini import read_ini
+from .blocks import BlockTable
+from .model import Configuration
+from .request_class import RequestClass
+from .service import Service
+from .source import BLOCKS_FILE, PARAMETERS_FILE, TEMPLATES_FILE
+from .target import Target
+
+__all__ = ["compile_source"]
+
+RESERVED_NAMES = ("health", "lookup")
+_NAME_RE = re.compile(r"[A-Za-z0-9_-]+")
+_KINDS = ("at_most_once", "idempotent", "plain")
+_LENGTHS = ("short", "long")
+_BITS_PER_MBIT = 1_000_000
+_BITS_PER_BYTE = 8
+
+
+def compile_source(source, revision=0):
+    """Return the configuration that a source describes.
+
+    :raises ConfigurationInvalid: naming file, section, key and reason.
+    """
+    return _Compiler(source).compile(revision)
+
+
+class _Compiler:
+    """Reads the sections of one source."""
+
+    def __init__(self, source):
+        self._source = source
+        self._templates = read_ini(
+            source.templates, TEMPLATES_FILE, ConfigurationInvalid
+        )
+        self._parameters = read_ini(
+            source.parameters, PARAMETERS_FILE, ConfigurationInvalid
+        )
+        self._domains = {}
+        self._entries = {}
+        self._targets = {}
+
+    def compile(self, revision):
+        name, link = self._read_workspace()
+        self._read_domains()
+        templates = self._read_templates()
+        services = self._read_services(templates)
+        self._read_targets(services)
+        self._check_leftovers()
+        self._check_drained()
+        return Configuration(
+            revision=revision,
+            workspace=name,
+            domains=self._domains,
+            entries=self._entries,
+            services=services,
+            targets=self._targets,
+            blocks=self._build_blocks(),
+            drained=frozenset(self._source.drained),
+            link_bytes_per_second=link,
+        )
+
+    def _iter_parameters(self, prefix):
+        for name, section in self._parameters.items():
+            if name.startswith(prefix + " "):
+                yield name[len(prefix) + 1 :].strip(), section
+
+    def _read_workspace(self):
+        if "workspace" not in self._parameters:
+            raise ConfigurationInvalid(
+                PARAMETERS_FILE, "workspace", "-", "missing section"
+            )
+        section = self._parameters["workspace"]
+        mbit = section.get_float("link_mbit_per_second", low=1)
+        return section.get_text("name"), int(mbit * _BITS_PER_MBIT / _BITS_PER_BYTE)
+
+    def _read_domains(self):
+        for name, section in self._iter_parameters("domain"):
+            self._domains[name] = section.get_text("region")
+            self._entries[name] = section.get_int("entries", low=0)
+        if not self._domains:
+            raise ConfigurationInvalid(PARAMETERS_FILE, "domain", "-", "none given")
+        for name in self._domains:
+            if name in self._domains.values():
+                section = self._parameters[f"domain {name}"]
+                raise section.refuse("region", f"{name} is also a region")
+
+    def _read_templates(self):
+        templates = {}
+        for name, section in self._templates.items():
+            kind, _, rest = name.partition(" ")
+            if kind == "template":
+                templates[rest] = (section, [])
+            elif kind == "class" and rest.count(".") == 1:
+                template, class_name = rest.split(".")
+                if template not in templates:
+                    raise section.refuse("-", f"no template {template!r} before it")
+                templates[template][1].append(self._read_class(class_name, section))
+            else:
+                raise section.refuse("-", "unknown section")
+        return templates
+
+    def _read_class(self, name, section):
+        kind = section.get_choice("kind", _KINDS)
+        deadline = section.get_duration("deadline")
+        item = RequestClass(
+            name=name,
+            method=section.get_text("method", "*"),
+            path=section.get_text("path"),
+            at_most_once=kind == "at_most_once",
+            idempotent=kind == "idempotent",
+            long=section.get_choice("length", _LENGTHS, "short") == "long",
+            deadline=deadline,
+            first_byte=section.get_duration("first_byte", f"{deadline}s"),
+            idle=section.get_duration("idle", f"{deadline}s"),
+        )
+        section.check_empty()
+        return item
+
+    def _read_services(self, templates):
+        services = {}
+        for name, section in self._iter_parameters("service"):
+            if name in RESERVED_NAMES or not _NAME_RE.fullmatch(name):
+                raise section.refuse("-", f"{name!r} cannot name a service")
+            template = section.get_text("template")
+            if template not in templates:
+                raise section.refuse("template", f"no template {template!r}")
+            defaults, classes = templates[template]
+            services[name] = self._read_service(name, section, defaults, classes)
+        if not services:
+            raise ConfigurationInvalid(PARAMETERS_FILE, "service", "-", "none given")
+        for section, _ in templates.values():
+            for key in ("shed_status", "drain_status", "load_path", "status_path"):
+                section.get_text(key, "")
+        return services
+
+    def _read_service(self, name, section, defaults, classes):
+        if not classes:
+            raise defaults.refuse("-", "the template has no request class")
+        slots = section.get_int("slots", low=1, high=10_000)
+        long_slots = section.get_int("long_slots", slots, 0, slots)
+        caps = {
+            key[len("cap.") :]: section.get_int(key)
+            for key in list(section)
+            if key.startswith("cap.")
+        }
+        for region in caps:
+            if region not in self._domains.values():
+                raise section.refuse(f"cap.{region}", f"no region {region!r}")
+        template = defaults.copy()
+        return Service(
+            name=name,
+            template=defaults.name.partition(" ")[2],
+            classes=tuple(classes),
+            slots=slots,
+            long_slots=long_slots,
+            caps=caps,
+            cap_floor=section.get_float("cap_floor", 0.2, 0.0, 1.0),
+            cap_ramp=section.get_duration("cap_ramp", "30s"),
+            queue=section.get_int("queue", 4, 0, 10_000),
+            queue_wait=section.get_duration("queue_wait", "40ms"),
+            shed_status=template.get_int("shed_status", 429, 400, 599),
+            drain_status=template.get_int("drain_status", 0, 0, 599),
+            load_path=template.get_text("load_path", ""),
+            status_path=template.get_text("status_path", ""),
+        )
+
+    def _read_targets(self, services):
+        for service, section in self._iter_parameters("targets"):
+            if service not in services:
+                raise section.refuse("-", f"no service {service!r}")
+            for name in list(section):
+                self._add_target(service, section, name)
+
+    def _add_target(self, service, section, name):
+        domain, _, address = section.get_text(name).partition(" ")
+        if domain not in self._domains:
+            raise section.refuse(name, f"no failure domain {domain!r}")
+        if name in self._targets or name in self._domains:
+            raise section.refuse(name, "the name is taken")
+        try:
+            parsed = Address.parse(address)
+        except AddressInvalid as exc:
+            raise section.refuse(name, str(exc)) from None
+        self._targets[name] = Target(name, service, domain, parsed)
+
+    def _check_leftovers(self):
+        known = ("workspace", "domain", "service", "targets")
+        for name, section in self._parameters.items():
+            if name.partition(" ")[0] not in known:
+                raise section.refuse("-", "unknown section")
+            section.check_empty()
+        for section in self._templates.values():
+            section.check_empty()
+
+    def _check_drained(self):
+        for name in self._source.drained:
+            if name not in self._targets and name not in self._domains:
+                reason = "neither a target nor a failure domain"
+                raise ConfigurationInvalid("drain", "drained", name, reason)
+
+    def _build_blocks(self):
+        places = {*self._domains, *self._domains.values()}
+        for _, _, place in self._source.blocks:
+            if place not in places:
+                raise ConfigurationInvalid(
+                    BLOCKS_FILE, "blocks", place, "neither a region nor a domain"
+                )
+        return BlockTable(self._source.blocks)
--- /dev/null
+++ b/turmericrudder/configuration/request_class.py
@@ -0,0 +1,33 @@
+"""Classes of requests within a template."""
+
+from dataclasses import dataclass
+from fnmatch import fnmatchcase
+
+__all__ = ["RequestClass"]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """How requests of one method and path pattern are treated.
+
+    :param at_most_once: run under an operation key, never sent twice.
+    :param idempotent: may be sent again after an unknown end.
+    :param long: counts against the part of the slots long work may hold.
+    :param deadline: seconds from arrival to the end of the answer.
+    :param first_byte: seconds an upstream may take to the answer's head.
+    :param idle: seconds without a byte after which an answer counts as cut.
+    """
+
+    name: str
+    method: str
+    path: str
+    at_most_once: bool
+    idempotent: bool
+    long: bool
+    deadline: float
+    first_byte: float
+    idle: float
+
+    def is_match(self, method, path):
+        """Return whether a request belongs to this class."""
+        return self.method in ("*", method) and fnmatchcase(path, self.path)
--- /dev/null
+++ b/turmericrudder/configuration/source.py
@@ -0,0 +1,73 @@
+"""The texts that operators write, before they are compiled."""
+
+import ipaddress
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from ..errors import ConfigurationInvalid
+from ..ini import read_ini
+
+__all__ = ["Source", "read_source"]
+
+TEMPLATES_FILE = "templates.ini"
+PARAMETERS_FILE = "parameters.ini"
+BLOCKS_FILE = "blocks.ini"
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Texts of a workspace; ``blocks`` as (first address, length, place)."""
+
+    templates: str
+    parameters: str
+    blocks: tuple[tuple[int, int, str], ...]
+    drained: tuple[str, ...] = ()
+
+    def drain(self, name):
+        """Return a copy in which a target or failure domain is drained."""
+        return replace(self, drained=tuple(sorted({*self.drained, name})))
+
+    def undrain(self, name):
+        """Return a copy in which a target or failure domain takes work."""
+        return replace(self, drained=tuple(sorted({*self.drained} - {name})))
+
+
+def read_source(directory):
+    """Return the source in a directory of the three INI files.
+
+    :raises ConfigurationInvalid: naming file, section, key and reason.
+    """
+    directory = Path(directory)
+    return Source(
+        _read(directory / TEMPLATES_FILE),
+        _read(directory / PARAMETERS_FILE),
+        _parse_blocks(_read(directory / BLOCKS_FILE)),
+    )
+
+
+def _read(path):
+    try:
+        return path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise ConfigurationInvalid(path.name, "-", "-", str(exc)) from None
+
+
+def _parse_blocks(text):
+    sections = read_ini(text, BLOCKS_FILE, ConfigurationInvalid)
+    blocks = []
+    for section in sections.values():
+        if section.name != "blocks":
+            raise ConfigurationInvalid(
+                BLOCKS_FILE, section.name, "-", "unknown section"
+            )
+        blocks = [_parse_block(section, key) for key in list(section)]
+    return tuple(sorted(blocks))
+
+
+def _parse_block(section, key):
+    place = section.get_text(key)
+    try:
+        network = ipaddress.IPv4Network(key)
+    except ValueError as exc:
+        raise section.refuse(key, str(exc)) from None
+    return int(network.network_address), network.prefixlen, place
--- /dev/null
+++ b/turmericrudder/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The entry instance: tasks that own sockets and state around the decisions."""
+
+from .entry import EntryInstance, run_entry
+
+__all__ = ["EntryInstance", "run_entry"]
--- /dev/null
+++ b/turmericrudder/daemon/application.py
@@ -0,0 +1,213 @@
+"""What callers see: look-ups and requests, as an ASGI application."""
+
+import time
+from urllib.parse import parse_qs, unquote
+
+import anyio
+
+from ..errors import (
+    ConfigurationMissing,
+    LookupInvalid,
+    RequestRefused,
+    UpstreamCut,
+)
+from ..events import catalogue
+from ..forwarding import (
+    CallerBody,
+    CallerGone,
+    Passed,
+    Ran,
+    Request,
+    Responder,
+    Turned,
+    Unknown,
+)
+from ..forwarding.headers import DEADLINE, KEY, get_header, strip_headers
+from ..routing import Work
+from ..verdict import Verdict
+
+__all__ = ["CallerApplication"]
+
+RETRY_AFTER = 1  # seconds
+MS_PER_SECOND = 1000
+MAX_PATH_BYTES = 8192
+
+
+class CallerApplication:
+    """Answers look-ups and takes requests from callers."""
+
+    __slots__ = ("_instance",)
+
+    def __init__(self, instance):
+        """Serve for an :class:`~turmericrudder.daemon.entry.EntryInstance`."""
+        self._instance = instance
+
+    async def __call__(self, scope, receive, send):
+        """Handle one HTTP request."""
+        responder = self._make_responder(send)
+        began = time.perf_counter()
+        path = scope["path"]
+        try:
+            with self._instance.count_open():
+                if path == "/lookup":
+                    await self._look_up(scope, responder)
+                elif path == "/health":
+                    await self._tell_health(responder)
+                else:
+                    await self._take(scope, receive, responder)
+        except CallerGone:
+            self._instance.log.write(catalogue.ROUTE_CANCELLED, path=path)
+        except RequestRefused as exc:
+            await self._refuse(responder, exc, path)
+        except UpstreamCut as exc:
+            await self._cut(responder, exc, path)
+        seconds = time.perf_counter() - began
+        name = "lookup" if path == "/lookup" else "request"
+        self._instance.metrics.record(f"{name}_seconds", seconds)
+        self._instance.metrics.count(f"{name}s", status=responder.status)
+
+    def _make_responder(self, send):
+        instance = self._instance
+        return Responder(
+            send, instance.settings.name, instance.pacer, instance.settings.region
+        )
+
+    async def _look_up(self, scope, responder):
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        service = query.get("service", [""])[0]
+        client = query.get("client", [scope["client"][0]])[0]
+        instance = self._instance
+        try:
+            answer = instance.planner.get_answer(service, client)
+        except ConfigurationMissing as exc:
+            raise RequestRefused(503, str(exc), retry_after=RETRY_AFTER) from None
+        except LookupInvalid as exc:
+            instance.log.write(catalogue.LOOKUP_REFUSED, reason=exc)
+            status = 404 if "service" in str(exc) else 400
+            raise RequestRefused(status, str(exc)) from None
+        instance.log.write(catalogue.LOOKUP_ANSWERED, service=service, client=client)
+        max_age = b"max-age=%d" % int(instance.settings.timing.lookup_ttl)
+        await responder.write_json(200, answer, [(b"cache-control", max_age)])
+
+    async def _tell_health(self, responder):
+        status = 200 if self._instance.is_serving() else 503
+        body = b'{"serving":%s}' % (b"true" if status == 200 else b"false")
+        await responder.write_json(status, body)
+
+    async def _take(self, scope, receive, responder):
+        instance = self._instance
+        if instance.is_closed():
+            raise RequestRefused(503, "leaving", retry_after=RETRY_AFTER)
+        request = self._parse(scope, receive)
+        if request.request_class.at_most_once:
+            await self._operate(request, responder)
+            return
+        await instance.run_watched(request, self._route(request, responder))
+
+    async def _operate(self, request, responder):
+        await request.body.prefetch(self._instance.settings.limits.replay_bytes)
+        await self._instance.operations.handle(request, responder, request.key)
+
+    async def _route(self, request, responder):
+        await request.body.prefetch(self._instance.settings.limits.replay_bytes)
+        raise_unless_passed(await self._instance.router.route(request, responder))
+
+    def _parse(self, scope, receive):
+        instance = self._instance
+        configuration = instance.configurator.configuration
+        if configuration is None:
+            raise RequestRefused(503, "no_configuration", retry_after=RETRY_AFTER)
+        headers = scope["headers"]
+        check_head(headers, scope["raw_path"], instance.settings.limits)
+        name, path = split_service(scope)
+        service = configuration.services.get(name)
+        if service is None:
+            raise RequestRefused(404, f"unknown service {name!r}")
+        home_region = instance.planner.get_home_region(scope["client"][0])
+        return make_request(scope, receive, service, path, home_region)
+
+    async def _refuse(self, responder, exc, path):
+        instance = self._instance
+        instance.log.write(
+            catalogue.ROUTE_REFUSED,
+            path=path,
+            status=exc.status,
+            reason=exc.reason,
+            verdict=exc.verdict.value,
+        )
+        instance.metrics.count("refusals", verdict=exc.verdict.value)
+        if not responder.started:
+            await responder.refuse(
+                exc.status,
+                exc.reason,
+                exc.verdict,
+                exc.retry_after,
+                instance.operations.prefix,
+            )
+
+    async def _cut(self, responder, exc, path):
+        self._instance.log.write(catalogue.ROUTE_CUT, path=path, reason=exc)
+        self._instance.metrics.count("cuts")
+        if not responder.started:
+            await responder.refuse(502, "cut", Verdict.MAY_HAVE_RUN)
+
+
+def split_service(scope):
+    """Return (service, path and query behind it as bytes) of a request."""
+    name, _, rest = scope["raw_path"].lstrip(b"/").partition(b"/")
+    query = scope["query_string"]
+    path = b"/" + rest + (b"?" + query if query else b"")
+    return unquote(name.decode("latin-1")), path
+
+
+def check_head(headers, raw_path, limits):
+    """Refuse a request whose head is too large."""
+    size = len(raw_path) + sum(len(name) + len(value) for name, value in headers)
+    if size > limits.head_bytes or len(raw_path) > MAX_PATH_BYTES:
+        raise RequestRefused(431, "head_too_large")
+
+
+def make_request(scope, receive, service, path, home_region):
+    """Return the :class:`Request` of an ASGI scope.
+
+    :raises RequestRefused: if no class matches or a header is malformed.
+    """
+    headers = scope["headers"]
+    bare_path = path.partition(b"?")[0].decode("latin-1")
+    item = service.get_class(scope["method"], bare_path)
+    if item is None:
+        raise RequestRefused(404, "no_request_class")
+    expires = anyio.current_time() + _get_patience(headers, item)
+    key = get_header(headers, KEY) or b""
+    return Request(
+        method=scope["method"],
+        path=path,
+        headers=[pair for pair in strip_headers(headers) if pair[0].lower() != KEY],
+        body=CallerBody(receive),
+        service=service,
+        request_class=item,
+        work=Work(service.name, home_region, item.long, expires),
+        key=key.decode("latin-1"),
+    )
+
+
+def raise_unless_passed(ended):
+    """Turn the end of a route into a refusal, if it is one."""
+    match ended:
+        case Passed():
+            return
+        case Ran(reason):
+            raise RequestRefused(502, "answer_lost", Verdict.RAN)
+        case Turned(reason):
+            raise RequestRefused(503, reason, Verdict.NOT_RUN, RETRY_AFTER)
+        case Unknown(reason):
+            raise RequestRefused(504, reason, Verdict.MAY_HAVE_RUN)
+
+
+def _get_patience(headers, item):
+    value = get_header(headers, DEADLINE)
+    if value is None:
+        return item.deadline
+    if not value.isdigit():
+        raise RequestRefused(400, "deadline_invalid")
+    return min(item.deadline, int(value) / MS_PER_SECOND)
--- /dev/null
+++ b/turmericrudder/daemon/entry.py
@@ -0,0 +1,386 @@
+"""The entry instance: builds the parts, wires them, runs and stops them."""
+
+import contextlib
+import random
+import secrets
+import signal
+import time
+
+import anyio
+
+from ..configuration import Repository
+from ..control import Channel, Handover, Heartbeat, TargetsLeaving
+from ..errors import PeerUnreachable
+from ..events import EventLog, catalogue, set_up_logging
+from ..forwarding import Dispatcher, LinkPacer, Operations, PeerLinks, Router, Upstreams
+from ..forwarding.dispatcher import Handover as HandoverWord
+from ..forwarding.dispatcher import SetOwned
+from ..forwarding.exchange import Answered
+from ..forwarding.headers import PEER_KEY
+from ..lookup import LookupPlanner
+from ..membership import Member, Status
+from ..metrics import Metrics
+from ..routing import Ownership, TargetPool
+from ..store import StoreClient
+from .application import CallerApplication
+from .configurator import Configurator
+from .membership import Membership
+from .monitor import Monitor
+from .peer_application import PeerApplication
+from .server import Server
+from .status import build_status
+from .store_reader import StoreReader
+
+__all__ = ["EntryInstance", "run_entry"]
+
+NONCE_BYTES = 4
+NS_PER_MS = 1_000_000
+PART_TIMEOUT = 3.0  # seconds
+STOP_STEP = 0.05  # seconds
+LEFT_PAUSE = 0.2  # seconds for the last messages to leave
+
+
+class EntryInstance:
+    """One entry instance and its state."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.log = EventLog(instance=settings.name)
+        self.metrics = Metrics()
+        self.pacer = LinkPacer(settings.region)
+        here = _make_member(settings)
+        self._channel = Channel(
+            settings.listen_control, settings.peer_key, self._handle, self.log
+        )
+        self.membership = Membership(
+            here, settings, self._channel, self.log, self._describe
+        )
+        self.planner = LookupPlanner(here, settings.timing.lookup_ttl)
+        self._store = StoreClient(settings.store)
+        repository = Repository(self._store, settings.workspace)
+        self.configurator = Configurator(
+            settings, repository, self._fetch_part, self.log
+        )
+        self._reader = StoreReader(
+            settings, repository, self.configurator, self.membership, self.log
+        )
+        self.dispatcher = Dispatcher(TargetPool(random.Random(here.nonce)), self.log)
+        self._upstreams = Upstreams()
+        self._peer_links = PeerLinks()
+        self.router = Router(
+            here,
+            settings,
+            self.dispatcher,
+            self._upstreams,
+            self._peer_links,
+            self.pacer,
+            self.log,
+            random.Random(here.nonce),
+        )
+        self._monitor = Monitor(
+            settings,
+            self.dispatcher,
+            self.membership,
+            self.configurator,
+            self._channel,
+            self._store,
+        )
+        self.operations = None
+        self.ownership = None
+        self._open = 0
+        self._closed = False
+        self._callers = Server(CallerApplication(self), settings.listen_callers)
+        self._peers = Server(PeerApplication(self), settings.listen_peers)
+        self._changed = anyio.Event()
+        self.membership.on_change = self._note_change
+        self.membership.on_revision = self._offer_revision
+        self.configurator.on_change = self._take_configuration
+        self.dispatcher.on_release = self._tell_handover
+
+    def is_serving(self):
+        """Return whether callers may be sent here."""
+        here = self.membership.here
+        return here.status is Status.LIVE
+
+    def is_closed(self):
+        """Return whether new requests are refused."""
+        return self._closed
+
+    @contextlib.contextmanager
+    def count_open(self):
+        """Count a request that a planned stop has to wait for."""
+        self._open += 1
+        try:
+            yield
+        finally:
+            self._open -= 1
+
+    async def run_watched(self, request, work):
+        """Run a coroutine, cancelled if the caller goes away.
+
+        :raises CallerGone: never; a caller that is gone gets no answer.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_when_gone, request.body, tasks.cancel_scope)
+            error = None
+            try:
+                await work
+            except Exception as exc:
+                # Raised below, outside the group, which would wrap it.
+                error = exc
+            tasks.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    def get_status(self):
+        """Return the document that ``turmericrudder status`` shows."""
+        return build_status(self)
+
+    def get_gauges(self):
+        """Return {series: value} of what is known besides the counters."""
+        home, witness = self.operations.get_entry_counts()
+        return {
+            "turmericrudder_revision": self.configurator.revision,
+            "turmericrudder_members": len(self.membership.view.get_live()),
+            "turmericrudder_in_flight": self.dispatcher.pool.get_in_flight(),
+            "turmericrudder_home_keys": home,
+            "turmericrudder_witness_keys": witness,
+            "turmericrudder_control_sent_bytes": self._channel.sent_bytes,
+            "turmericrudder_control_received_bytes": self._channel.received_bytes,
+            "turmericrudder_control_sent_messages": self._channel.sent_count,
+            "turmericrudder_store_calls": self._store.call_count,
+        }
+
+    async def run(self):
+        """Serve until a stop signal, then leave without cutting anything."""
+        async with anyio.create_task_group() as tasks:
+            self.operations = Operations(
+                self.membership.here,
+                self.settings,
+                self.membership.view,
+                self._channel,
+                self.router,
+                tasks,
+                self.log,
+            )
+            self.operations.on_epoch = self._note_change
+            await tasks.start(self._channel.run)
+            await tasks.start(self._peers.run)
+            await tasks.start(self._callers.run)
+            for task in (
+                self.configurator.run,
+                self.dispatcher.run,
+                self.membership.run,
+                self._monitor.run,
+                self._reader.run,
+                self.operations.run_epochs,
+                self._run_changes,
+                self._run_handover,
+            ):
+                tasks.start_soon(task)
+            self.log.write(
+                catalogue.INSTANCE_STARTED,
+                callers=self.settings.listen_callers,
+                peers=self.settings.listen_peers,
+                control=self.settings.listen_control,
+            )
+            await self._wait_stop(tasks)
+            tasks.cancel_scope.cancel()
+        await self._upstreams.aclose()
+        await self._peer_links.aclose()
+        await self._store.aclose()
+        self.log.write(catalogue.INSTANCE_STOPPED)
+
+    async def _wait_stop(self, tasks):
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            stopping = False
+            async for _ in signals:
+                if stopping:
+                    self.log.write(catalogue.INSTANCE_ABORTED)
+                    raise SystemExit(1)
+                stopping = True
+                tasks.start_soon(self._leave, tasks.cancel_scope)
+
+    async def _leave(self, scope):
+        self.log.write(catalogue.INSTANCE_LEAVING, in_flight=self._open)
+        self.membership.set_status(Status.LEAVING)
+        timing = self.settings.timing
+        # Callers may come by a cached answer for this long.
+        await anyio.sleep(timing.lookup_ttl + timing.heartbeat)
+        self._closed = True
+        with anyio.move_on_after(timing.drain_limit):
+            while self._open or self.operations.is_telling():
+                await anyio.sleep(STOP_STEP)
+        self._callers.stop()
+        self._peers.stop()
+        self.membership.set_status(Status.LEFT)
+        await anyio.sleep(LEFT_PAUSE)
+        scope.cancel()
+
+    def _handle(self, envelope):
+        match envelope.message:
+            case Handover(in_flight):
+                self.dispatcher.tell(HandoverWord(in_flight))
+            case TargetsLeaving(names):
+                self._monitor.handle_leaving(names)
+            case message:
+                answer = self.operations.answer_peer(message)
+                if answer is not None:
+                    self._channel.answer(envelope, answer)
+                else:
+                    self.membership.handle(envelope)
+
+    def _describe(self):
+        here = self.membership.here
+        prefix = self.operations.prefix if self.operations else ""
+        return Heartbeat(
+            here.name,
+            here.incarnation,
+            here.sequence,
+            self.configurator.revision,
+            self.configurator.manifest,
+            prefix,
+            self.dispatcher.pool.get_free(anyio.current_time()),
+        )
+
+    def _offer_revision(self, member, revision, manifest):
+        self.configurator.offer(revision, manifest, member.peers)
+
+    async def _fetch_part(self, address, kind, name):
+        headers = [(PEER_KEY, self.settings.peer_key.encode())]
+        path = f"/part/{kind}/{name}".encode()
+        limits = (PART_TIMEOUT, PART_TIMEOUT)
+        answered, link = await self._peer_links.exchange(
+            address, "GET", path, headers, None, limits
+        )
+        if not isinstance(answered, Answered) or answered.status != 200:
+            raise PeerUnreachable(f"{address} has no {kind} {name}")
+        data = b"".join([chunk async for chunk in answered.iter_chunks()])
+        await answered.aclose()
+        await self._peer_links.release(address, link)
+        return data
+
+    def _take_configuration(self):
+        self.pacer.update(self.configurator.configuration)
+        if self.membership.here.status is Status.STARTING:
+            self.membership.set_status(Status.LIVE)
+        self.membership.announce()
+        self._note_change()
+
+    def _note_change(self):
+        self._changed.set()
+
+    async def _run_changes(self):
+        """Derive look-ups, routes and ownership from what changed."""
+        while True:
+            await self._changed.wait()
+            self._changed = anyio.Event()
+            if self.configurator.configuration is not None:
+                self._derive()
+
+    def _derive(self):
+        configuration = self.configurator.configuration
+        view = self.membership.view
+        live = view.get_live()
+        heard = self.membership.get_heartbeats()
+        prefixes = {name: heartbeat.prefix for name, heartbeat in heard.items()}
+        prefixes[self.settings.name] = self.operations.prefix
+        self.planner.update(configuration, live, prefixes)
+        before = self.ownership
+        self.ownership = Ownership(
+            configuration, live, _get_silent(view, configuration)
+        )
+        self.router.update(
+            self.ownership,
+            {member.name: member for member in view.get_reachable()},
+            _FreeSlots(heard),
+        )
+        predecessors = self._get_predecessors(before)
+        owned = self.ownership.get_owned(self.settings.name)
+        self.dispatcher.tell(SetOwned(configuration, owned, predecessors))
+
+    def _get_predecessors(self, before):
+        """Return the targets whose previous owner is still reachable."""
+        view = self.membership.view
+        reachable = {member.name for member in view.get_reachable()}
+        reachable.discard(self.settings.name)
+        if before is None:
+            others = [m for m in view.get_live() if m.name != self.settings.name]
+            before = Ownership(self.configurator.configuration, others)
+        predecessors = set()
+        for target in self.configurator.configuration.targets:
+            owner = before.get(target)
+            if owner is not None and owner.name in reachable:
+                predecessors.add(target)
+        return frozenset(predecessors)
+
+    def _tell_handover(self, target_name):
+        """Tell the new owners of released targets what still runs here."""
+        if self.dispatcher.pool.get_state(target_name) is None:
+            self._send_handover([target_name])
+
+    def _send_handover(self, names):
+        released = self.dispatcher.pool.get_released()
+        words = {}
+        for name in names:
+            owner = self.ownership.get(name) if self.ownership else None
+            if owner is not None and owner.name != self.settings.name:
+                words.setdefault(owner.name, {})[name] = released.get(name, 0)
+        for name, in_flight in words.items():
+            member = self.membership.view.get(name)
+            if member is not None:
+                self._channel.send(member.control, Handover(in_flight))
+
+    async def _run_handover(self):
+        while True:
+            await anyio.sleep(self.settings.timing.heartbeat)
+            self._send_handover(self.dispatcher.pool.get_released())
+
+
+class _FreeSlots:
+    """Free slots by instance, read from the latest heartbeats."""
+
+    __slots__ = ("_heard",)
+
+    def __init__(self, heard):
+        self._heard = heard
+
+    def get(self, name, default):
+        heartbeat = self._heard.get(name)
+        return default if heartbeat is None else heartbeat.free
+
+
+async def run_entry(settings):
+    """Run an entry instance until it is told to stop."""
+    set_up_logging(settings)
+    await EntryInstance(settings).run()
+
+
+async def _cancel_when_gone(body, scope):
+    await body.wait_gone()
+    scope.cancel()
+
+
+def _get_silent(view, configuration):
+    """Return the domains whose instances may run unseen from here."""
+    planned = {}
+    for member in view:
+        is_planned = member.status in (Status.LEAVING, Status.LEFT)
+        domain = member.failure_domain
+        planned[domain] = planned.get(domain, True) and is_planned
+    return {domain for domain in configuration.domains if not planned.get(domain)}
+
+
+def _make_member(settings):
+    return Member(
+        name=settings.name,
+        incarnation=time.time_ns() // NS_PER_MS,
+        nonce=secrets.token_hex(NONCE_BYTES),
+        sequence=0,
+        status=Status.STARTING,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        callers=str(settings.listen_callers),
+        peers=str(settings.listen_peers),
+        control=str(settings.listen_control),
+    )
--- /dev/null
+++ b/turmericrudder/daemon/monitor.py
@@ -0,0 +1,117 @@
+"""The task that asks owned targets for their load and reads the platform's list."""
+
+import anyio
+import httpcore
+import msgspec
+
+from ..control import TargetsLeaving
+from ..errors import StoreError
+from ..forwarding.dispatcher import Report
+
+__all__ = ["Monitor"]
+
+PROBE_TIMEOUT = 0.8  # seconds
+LIST_READERS_PER_DOMAIN = 2
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """What an upstream says of itself; it may lag or mislead."""
+
+    in_flight: int = 0
+    draining: bool = False
+
+
+class Monitor:
+    """Turns reports and the list into messages for the dispatcher."""
+
+    __slots__ = (
+        "_channel",
+        "_configurator",
+        "_dispatcher",
+        "_leaving",
+        "_listed",
+        "_membership",
+        "_pool",
+        "_store",
+        "_timing",
+    )
+
+    def __init__(self, settings, dispatcher, membership, configurator, channel, store):
+        self._timing = settings.timing
+        self._dispatcher = dispatcher
+        self._membership = membership
+        self._configurator = configurator
+        self._channel = channel
+        self._store = store
+        self._leaving = frozenset()
+        self._listed = frozenset()
+        self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+
+    def handle_leaving(self, names):
+        """Take another instance's word for which upstreams are leaving."""
+        self._leaving = frozenset(names)
+        self._apply_leaving()
+
+    async def run(self):
+        """Probe and read until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._run_list)
+            while True:
+                self._apply_leaving()
+                async with anyio.create_task_group() as probes:
+                    for state in self._dispatcher.pool.get_states():
+                        if state.service.load_path:
+                            probes.start_soon(self._probe, state)
+                    probes.start_soon(anyio.sleep, self._timing.report)
+
+    async def _run_list(self):
+        while True:
+            if self._membership.has_duty("list reader", LIST_READERS_PER_DOMAIN):
+                await self._read_list()
+            await anyio.sleep(self._timing.report)
+
+    async def _read_list(self):
+        try:
+            records = await self._store.get_instances()
+        except StoreError:
+            return
+        for record in records:
+            if record.role == "entry" and record.state == "live":
+                self._membership.add_seed(record.address)
+        leaving = frozenset(
+            record.name
+            for record in records
+            if record.role == "upstream" and record.state == "leaving"
+        )
+        self.handle_leaving(leaving)
+        if leaving or self._listed:
+            self._tell_leaving(leaving)
+        self._listed = leaving
+
+    def _tell_leaving(self, leaving):
+        here = self._membership.here
+        for member in self._membership.view.get_reachable():
+            if member.name != here.name and member.region == here.region:
+                self._channel.send(member.control, TargetsLeaving(tuple(leaving)))
+
+    def _apply_leaving(self):
+        for state in self._dispatcher.pool.get_states():
+            state.listed_leaving = state.target.name in self._leaving
+
+    async def _probe(self, state):
+        target = state.target
+        url = f"http://{target.address}{state.service.load_path}"
+        limits = dict.fromkeys(("connect", "read", "write", "pool"), PROBE_TIMEOUT)
+        try:
+            response = await self._pool.request(
+                "GET", url, extensions={"timeout": limits}
+            )
+            report = msgspec.json.decode(response.content, type=LoadReport)
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+            msgspec.DecodeError,
+        ):
+            return
+        self._dispatcher.tell(Report(target.name, report.in_flight, report.draining))
--- /dev/null
+++ b/turmericrudder/daemon/peer_application.py
@@ -0,0 +1,125 @@
+"""What other instances and operators see, as an ASGI application."""
+
+import hmac
+
+import msgspec
+
+from ..errors import RequestRefused, UpstreamCut
+from ..events import catalogue
+from ..forwarding import CallerGone, Responder
+from ..forwarding.headers import (
+    HOME_REGION,
+    ORIGIN,
+    PEER_KEY,
+    ROLE,
+    WAIT,
+    get_header,
+)
+from ..operation import KeyInvalid, OperationKey
+from ..verdict import Verdict
+from .application import make_request, raise_unless_passed, split_service
+
+__all__ = ["PeerApplication"]
+
+
+class PeerApplication:
+    """Takes forwarded requests and serves configuration parts and status."""
+
+    __slots__ = ("_instance",)
+
+    def __init__(self, instance):
+        """Serve for an :class:`~turmericrudder.daemon.entry.EntryInstance`."""
+        self._instance = instance
+
+    async def __call__(self, scope, receive, send):
+        """Handle one HTTP request of a peer or an operator."""
+        headers = scope["headers"]
+        responder = self._make_responder(send, headers)
+        try:
+            with self._instance.count_open():
+                await self._serve(scope, receive, responder)
+        except CallerGone:
+            self._instance.log.write(catalogue.ROUTE_CANCELLED, path=scope["path"])
+        except RequestRefused as exc:
+            if not responder.started:
+                await responder.refuse(
+                    exc.status, exc.reason, exc.verdict, exc.retry_after
+                )
+        except UpstreamCut as exc:
+            self._instance.log.write(
+                catalogue.ROUTE_CUT, path=scope["path"], reason=exc
+            )
+            if not responder.started:
+                await responder.refuse(502, "cut", Verdict.MAY_HAVE_RUN)
+
+    async def _serve(self, scope, receive, responder):
+        path = scope["path"]
+        if path == "/metrics":
+            await self._tell_metrics(responder)
+            return
+        self._check_key(scope["headers"])
+        if path == "/status":
+            status = msgspec.json.encode(self._instance.get_status())
+            await responder.write_json(200, status)
+        elif path.startswith("/part/"):
+            await self._tell_part(path, responder)
+        else:
+            await self._run(scope, receive, responder)
+
+    def _make_responder(self, send, headers):
+        instance = self._instance
+        origin = (get_header(headers, ORIGIN) or b"").decode("latin-1")
+        member = instance.membership.view.get(origin)
+        region = member.region if member else instance.settings.region
+        return Responder(send, instance.settings.name, instance.pacer, region)
+
+    def _check_key(self, headers):
+        given = get_header(headers, PEER_KEY) or b""
+        if not hmac.compare_digest(given, self._instance.settings.peer_key.encode()):
+            raise RequestRefused(403, "peer_key")
+
+    async def _tell_metrics(self, responder):
+        text = self._instance.metrics.format(self._instance.get_gauges())
+        await responder.write_json(200, text.encode())
+
+    async def _tell_part(self, path, responder):
+        data = self._instance.configurator.get_part(path.rpartition("/")[2])
+        if data is None:
+            raise RequestRefused(404, "unknown_part")
+        await responder.write_json(200, data)
+
+    async def _run(self, scope, receive, responder):
+        instance = self._instance
+        configuration = instance.configurator.configuration
+        if configuration is None:
+            raise RequestRefused(503, "no_configuration")
+        name, path = split_service(scope)
+        service = configuration.services.get(name)
+        if service is None:
+            raise RequestRefused(404, f"unknown service {name!r}")
+        headers = scope["headers"]
+        home_region = (get_header(headers, HOME_REGION) or b"").decode("latin-1")
+        request = make_request(scope, receive, service, path, home_region)
+        await request.body.prefetch(instance.settings.limits.replay_bytes)
+        if get_header(headers, ROLE) == b"home":
+            await self._run_home(request, responder)
+        else:
+            wait = get_header(headers, WAIT) == b"1"
+            await self._run_owned(request, responder, wait)
+
+    async def _run_home(self, request, responder):
+        try:
+            key = OperationKey.parse(request.key)
+        except KeyInvalid:
+            raise RequestRefused(428, "key_invalid") from None
+        await self._instance.operations.run_home(request, responder, key)
+
+    async def _run_owned(self, request, responder, wait):
+        instance = self._instance
+
+        async def route():
+            raise_unless_passed(
+                await instance.router.route_owned(request, responder, wait)
+            )
+
+        await instance.run_watched(request, route())
--- /dev/null
+++ b/turmericrudder/daemon/status.py
@@ -0,0 +1,106 @@
+"""The status of one instance, as operators see it."""
+
+import anyio
+import msgspec
+
+__all__ = ["InstanceStatus", "MemberStatus", "TargetStatus", "build_status"]
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """Another instance, as this one sees it; revision 0 is unknown."""
+
+    name: str
+    region: str
+    failure_domain: str
+    status: str
+    revision: int
+    peers: str
+
+
+class TargetStatus(msgspec.Struct, frozen=True):
+    """An owned target; counts are slots."""
+
+    name: str
+    service: str
+    failure_domain: str
+    slots: int
+    free: int
+    in_flight: int
+    long: int
+    foreign: int
+    foreign_cap: int
+    reserved: int
+    leaving: bool
+    ejected: bool
+    adopted: bool
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """The whole document."""
+
+    name: str
+    status: str
+    revision: int
+    manifest: str
+    members: list[MemberStatus]
+    targets: list[TargetStatus]
+
+
+def build_status(instance):
+    """Return the :class:`InstanceStatus` of an entry instance."""
+    here = instance.membership.here
+    return InstanceStatus(
+        name=here.name,
+        status=here.status.name.lower(),
+        revision=instance.configurator.revision,
+        manifest=instance.configurator.manifest,
+        members=_build_members(instance),
+        targets=_build_targets(instance),
+    )
+
+
+def _build_members(instance):
+    heard = instance.membership.get_heartbeats()
+    members = sorted(instance.membership.view, key=lambda member: member.name)
+    return [
+        MemberStatus(
+            name=member.name,
+            region=member.region,
+            failure_domain=member.failure_domain,
+            status=member.status.name.lower(),
+            revision=_get_revision(instance, heard, member.name),
+            peers=member.peers,
+        )
+        for member in members
+    ]
+
+
+def _get_revision(instance, heard, name):
+    if name == instance.settings.name:
+        return instance.configurator.revision
+    return heard[name].revision if name in heard else 0
+
+
+def _build_targets(instance):
+    now = anyio.current_time()
+    states = instance.dispatcher.pool.get_states()
+    states.sort(key=lambda state: state.target.name)
+    return [_build_target(state, now) for state in states]
+
+
+def _build_target(state, now):
+    return TargetStatus(
+        name=state.target.name,
+        service=state.service.name,
+        failure_domain=state.target.failure_domain,
+        slots=state.service.slots,
+        free=state.get_free(now),
+        in_flight=state.in_flight,
+        long=state.long,
+        foreign=state.foreign,
+        foreign_cap=state.foreign_cap,
+        reserved=state.takeover.get_reserved(now),
+        leaving=state.is_leaving(),
+        ejected=state.is_ejected(now),
+        adopted=state.adoption is not None,
+    )
--- /dev/null
+++ b/turmericrudder/events/log.py
@@ -0,0 +1,37 @@
+"""Write numbered events through the standard ``logging``."""
+
+import logging
+import sys
+
+from .formatter import JsonFormatter, PlainFormatter
+
+__all__ = ["EventLog", "set_up_logging"]
+
+LOGGER = logging.getLogger("turmericrudder")
+
+
+class EventLog:
+    """Writes events with the fields all lines of one process share."""
+
+    __slots__ = ("_shared",)
+
+    def __init__(self, **shared):
+        self._shared = shared
+
+    def write(self, event, **fields):
+        """Write one line for ``event``, unless its level is switched off."""
+        if not LOGGER.isEnabledFor(event.level):
+            return
+        extra = {"event": event, "fields": self._shared | fields}
+        LOGGER.log(event.level, event.text, extra=extra)
+
+
+def set_up_logging(settings):
+    """Send the log to standard error in the format of the settings."""
+    handler = logging.StreamHandler(sys.stderr)
+    formatter = JsonFormatter() if settings.log_format == "json" else PlainFormatter()
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.WARNING)
+    LOGGER.setLevel(settings.log_level.upper())
--- /dev/null
+++ b/turmericrudder/forwarding/connection.py
@@ -0,0 +1,135 @@
+"""One connection, one request at a time."""
+
+import anyio
+import httpcore
+
+from .exchange import Answered, NoAnswer, NotSent
+
+__all__ = ["Connection"]
+
+CONNECT_TIMEOUT = 0.5  # seconds
+KEEPALIVE = 20.0  # seconds
+
+_CONNECT_FAILURES = (httpcore.ConnectError, httpcore.ConnectTimeout)
+_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+_BODYLESS_STATUSES = (204, 304)
+
+
+class Connection:
+    """A connection to one address, opened when it is first used.
+
+    An answer that was not read to its end closes the connection, so that no
+    late or crossed answer can reach another caller.
+    """
+
+    __slots__ = ("_address", "_connection")
+
+    def __init__(self, address):
+        self._address = address
+        self._connection = self._open()
+
+    async def aclose(self):
+        """Close the connection."""
+        with anyio.CancelScope(shield=True):
+            await self._connection.aclose()
+
+    def is_fresh(self):
+        """Return whether nothing has been sent on it yet."""
+        return not self._connection.has_been_used
+
+    def is_usable(self):
+        """Return whether a request can be sent on it now."""
+        connection = self._connection.inner
+        return not connection.is_closed() and not connection.has_expired()
+
+    async def renew(self):
+        """Replace a used connection by a new one."""
+        await self.aclose()
+        self._connection = self._open()
+
+    async def exchange(self, method, path, headers, content, first_byte, idle):
+        """Send a request and return what became of it.
+
+        :param content: async iterator of the body's chunks, or ``None``.
+        :param first_byte: seconds until the answer's head must be there.
+        :param idle: seconds between two reads of the body.
+        :returns: :class:`Answered`, :class:`NotSent` or :class:`NoAnswer`.
+        """
+        request = self._build(method, path, headers, content, idle)
+        sent = self._connection
+        try:
+            with anyio.fail_after(first_byte):
+                response = await sent.handle(request)
+        except _CONNECT_FAILURES as exc:
+            return NotSent(type(exc).__name__)
+        except TimeoutError:
+            await self.aclose()
+            return NoAnswer("first_byte") if sent.has_connected else NotSent("connect")
+        except _FAILURES as exc:
+            await self.aclose()
+            return NoAnswer(type(exc).__name__)
+        if not _is_delimited(method, response):
+            await response.aclose()
+            return NoAnswer("undelimited")
+        return Answered(response)
+
+    def _open(self):
+        return _Tracked(self._address)
+
+    def _build(self, method, path, headers, content, idle):
+        url = httpcore.URL(
+            scheme=b"http",
+            host=self._address.host.encode(),
+            port=self._address.port,
+            target=path,
+        )
+        timeout = {
+            "connect": CONNECT_TIMEOUT,
+            "read": idle,
+            "write": idle,
+            "pool": CONNECT_TIMEOUT,
+        }
+        host = (b"host", str(self._address).encode())
+        return httpcore.Request(
+            method,
+            url,
+            headers=[host, *headers],
+            content=content,
+            extensions={"timeout": timeout},
+        )
+
+
+class _Tracked:
+    """An httpcore connection that knows how far it has come."""
+
+    __slots__ = ("has_been_used", "has_connected", "inner")
+
+    def __init__(self, address):
+        origin = httpcore.Origin(b"http", address.host.encode(), address.port)
+        self.inner = httpcore.AsyncHTTPConnection(origin, keepalive_expiry=KEEPALIVE)
+        self.has_been_used = False
+        self.has_connected = False
+
+    async def handle(self, request):
+        request.extensions["trace"] = self._trace
+        self.has_been_used = True
+        return await self.inner.handle_async_request(request)
+
+    async def aclose(self):
+        await self.inner.aclose()
+
+    async def _trace(self, name, info):
+        if name == "connection.connect_tcp.complete":
+            self.has_connected = True
+
+
+def _is_delimited(method, response):
+    """Return whether the end of the body can be told from a cut."""
+    if method == "HEAD" or response.status in _BODYLESS_STATUSES:
+        return True
+    names = {name.lower() for name, _ in response.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
--- /dev/null
+++ b/turmericrudder/forwarding/dispatcher.py
@@ -0,0 +1,175 @@
+"""The task that owns the target pool; others talk to it by messages."""
+
+import math
+from dataclasses import dataclass, field
+
+import anyio
+
+from ..events import catalogue
+from ..routing import Cancelled, Grant, Refusal, Waiting, Work
+
+__all__ = ["Claim", "Dispatcher", "GiveBack", "Handover", "Report", "SetOwned"]
+
+MAX_QUEUED_MESSAGES = 100_000
+
+
+class _Reply:
+    """The answer to a claim; may be abandoned by a cancelled claimant."""
+
+    __slots__ = ("abandoned", "event", "value")
+
+    def __init__(self):
+        self.event = anyio.Event()
+        self.value = None
+        self.abandoned = False
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Asks for a slot; ``wait`` allows to queue for it."""
+
+    work: Work
+    wait: bool
+    reply: _Reply = field(default_factory=_Reply)
+
+
+@dataclass(frozen=True, slots=True)
+class GiveBack:
+    """Returns a slot with how the request ended."""
+
+    grant: Grant
+    result: object
+
+
+@dataclass(frozen=True, slots=True)
+class SetOwned:
+    """Tells which targets are owned from now on."""
+
+    configuration: object
+    owned: dict
+    predecessors: frozenset
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """A predecessor's word: {target name: requests it still runs}."""
+
+    in_flight: dict
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """A load report of a target."""
+
+    target: str
+    in_flight: int
+    draining: bool
+
+
+class Dispatcher:
+    """Grants slots one message at a time."""
+
+    __slots__ = ("_log", "_receiver", "_sender", "on_release", "pool")
+
+    def __init__(self, pool, log):
+        self.pool = pool
+        self._log = log
+        self._sender, self._receiver = anyio.create_memory_object_stream(
+            MAX_QUEUED_MESSAGES
+        )
+        self.on_release = None
+
+    def tell(self, message):
+        """Send a message that wants no answer; never waits."""
+        self._sender.send_nowait(message)
+
+    async def claim(self, work, wait):
+        """Return a :class:`Grant` or a :class:`Refusal`."""
+        claim = Claim(work, wait)
+        self._sender.send_nowait(claim)
+        try:
+            await claim.reply.event.wait()
+        except BaseException:
+            claim.reply.abandoned = True
+            if isinstance(claim.reply.value, Grant):
+                self.tell(GiveBack(claim.reply.value, Cancelled()))
+            raise
+        return claim.reply.value
+
+    async def run(self):
+        """Serve messages until cancelled."""
+        while True:
+            message = await self._receive()
+            now = anyio.current_time()
+            if message is not None:
+                self._handle(message, now)
+            for reply, answer in self.pool.serve_waiting(now):
+                self._answer(reply, answer)
+
+    async def _receive(self):
+        expiry = self.pool.get_next_expiry()
+        wait = math.inf if expiry is None else max(0, expiry - anyio.current_time())
+        try:
+            return self._receiver.receive_nowait()
+        except anyio.WouldBlock:
+            pass
+        with anyio.move_on_after(wait):
+            return await self._receiver.receive()
+        return None
+
+    def _handle(self, message, now):
+        match message:
+            case Claim(work, wait, reply):
+                self._claim(work, wait, reply, now)
+            case GiveBack(grant, result):
+                self.pool.give_back(grant, result, now)
+                self._tell_released(grant.state.target.name)
+            case SetOwned(configuration, owned, predecessors):
+                self._set_owned(configuration, owned, predecessors, now)
+            case Handover(in_flight):
+                self._take_over(in_flight, now)
+            case Report(target, in_flight, draining):
+                self._report(target, in_flight, draining, now)
+
+    def _claim(self, work, wait, reply, now):
+        if reply.abandoned:
+            return
+        answer = self.pool.claim(work, now)
+        if isinstance(answer, Refusal) and wait and self.pool.get_states(work.service):
+            answer = self.pool.wait(work, reply, now)
+        if not isinstance(answer, Waiting):
+            self._answer(reply, answer)
+
+    def _answer(self, reply, answer):
+        if not reply.abandoned:
+            reply.value = answer
+            reply.event.set()
+        elif isinstance(answer, Grant):
+            self.tell(GiveBack(answer, Cancelled()))
+
+    def _set_owned(self, configuration, owned, predecessors, now):
+        taken, released = self.pool.set_owned(configuration, owned, predecessors, now)
+        for name in taken:
+            self._log.write(catalogue.TARGET_OWNED, target=name, adopted=owned[name])
+        for name in released:
+            self._log.write(catalogue.TARGET_RELEASED, target=name)
+            self._tell_released(name)
+
+    def _take_over(self, in_flight, now):
+        for name, count in in_flight.items():
+            state = self.pool.get_state(name)
+            if state is not None:
+                state.takeover.tell(count, now)
+
+    def _report(self, target, in_flight, draining, now):
+        state = self.pool.get_state(target)
+        if state is None:
+            return
+        if draining != state.draining:
+            event = catalogue.TARGET_DRAINING if draining else catalogue.TARGET_RETURNED
+            self._log.write(event, target=target)
+        state.report(in_flight, draining, now)
+
+    def _tell_released(self, target_name):
+        if self.on_release is not None:
+            self.on_release(target_name)
--- /dev/null
+++ b/turmericrudder/forwarding/headers.py
@@ -0,0 +1,75 @@
+"""Names of headers, and which of them may pass from one side to the other."""
+
+__all__ = [
+    "DEADLINE",
+    "HOME_REGION",
+    "INSTANCE",
+    "KEY",
+    "KEY_PREFIX",
+    "ORIGIN",
+    "PEER_KEY",
+    "ROLE",
+    "VERDICT",
+    "WAIT",
+    "get_header",
+    "strip_headers",
+]
+
+_OWN = b"turmericrudder-"
+
+VERDICT = _OWN + b"verdict"
+INSTANCE = _OWN + b"instance"
+KEY_PREFIX = _OWN + b"key-prefix"
+DEADLINE = _OWN + b"deadline-ms"
+# Between instances only.
+PEER_KEY = _OWN + b"peer-key"
+ORIGIN = _OWN + b"origin"
+HOME_REGION = _OWN + b"home-region"
+ROLE = _OWN + b"role"
+WAIT = _OWN + b"wait"
+# Given by callers, passed to upstreams.
+KEY = b"idempotency-key"
+
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"expect",
+        b"host",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_LENGTH = b"content-length"
+
+
+def get_header(headers, name):
+    """Return the first value of a lower-case header name, or ``None``."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def strip_headers(headers):
+    """Return headers without those that end at this hop or are our own."""
+    dropped = _HOP_BY_HOP | _get_connection_options(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in dropped and not name.lower().startswith(_OWN)
+    ]
+
+
+def _get_connection_options(headers):
+    options = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            options |= {option.strip().lower() for option in value.split(b",")}
+    options.discard(_LENGTH)
+    return options
--- /dev/null
+++ b/turmericrudder/forwarding/peer_links.py
@@ -0,0 +1,55 @@
+"""Connections to other instances, kept while idle."""
+
+from collections import deque
+
+from ..address import Address
+from .connection import Connection
+from .exchange import Answered
+
+__all__ = ["PeerLinks"]
+
+MAX_IDLE_PER_PEER = 16
+
+
+class PeerLinks:
+    """Idle connections by address; each carries one request at a time."""
+
+    __slots__ = ("_idle",)
+
+    def __init__(self):
+        self._idle = {}
+
+    async def aclose(self):
+        """Close all idle connections."""
+        for links in self._idle.values():
+            while links:
+                await links.pop().aclose()
+
+    async def exchange(self, address, method, path, headers, content, limits):
+        """Send a request to a peer.
+
+        :param limits: (first_byte, idle) in seconds.
+        :returns: (exchange result, connection to give to :meth:`release`).
+        """
+        link = await self._take(address)
+        result = await link.exchange(method, path, headers, content, *limits)
+        if not isinstance(result, Answered):
+            await link.aclose()
+        return result, link
+
+    async def release(self, address, link):
+        """Keep a connection for later, if it can be used again."""
+        links = self._idle.setdefault(address, deque())
+        if len(links) < MAX_IDLE_PER_PEER and link.is_usable():
+            links.append(link)
+        else:
+            await link.aclose()
+
+    async def _take(self, address):
+        links = self._idle.setdefault(address, deque())
+        while links:
+            link = links.pop()
+            if link.is_usable():
+                return link
+            await link.aclose()
+        return Connection(Address.parse(address))
--- /dev/null
+++ b/turmericrudder/forwarding/request.py
@@ -0,0 +1,33 @@
+"""A caller's request on its way."""
+
+from dataclasses import dataclass
+
+from ..configuration import RequestClass, Service
+from ..routing import Work
+from .body import CallerBody
+
+__all__ = ["Request"]
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What is needed to send a request on.
+
+    :param path: path and query behind the service's name, as bytes.
+    :param headers: the caller's headers without those of the hop.
+    :param key: operation key as text, empty if there is none.
+    """
+
+    method: str
+    path: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: CallerBody
+    service: Service
+    request_class: RequestClass
+    work: Work
+    key: str = ""
+
+    @property
+    def expires(self):
+        """Monotonic time of the deadline in seconds."""
+        return self.work.expires
--- /dev/null
+++ b/turmericrudder/forwarding/step.py
@@ -0,0 +1,71 @@
+"""The steps by which a request looks for a slot, and how each ends."""
+
+from dataclasses import dataclass
+
+from ..routing import PeerLoad
+
+__all__ = ["AtPeer", "AtTarget", "Passed", "Ran", "Turned", "Unknown", "plan_steps"]
+
+MAX_PEERS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class AtTarget:
+    """Claim a slot of a target owned here; ``wait`` allows to queue."""
+
+    wait: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AtPeer:
+    """Forward to another owner; ``wait`` allows it to queue."""
+
+    peer: PeerLoad
+    wait: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """An answer was passed on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Turned:
+    """The request did not run.
+
+    :param worked: an upstream spent work on refusing it.
+    """
+
+    reason: str
+    worked: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """The request ran, but its answer was lost."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run."""
+
+    reason: str
+
+
+def plan_steps(owns_targets, peers):
+    """Return the steps to try in turn while the request is turned away.
+
+    A free slot anywhere near goes before waiting; where nothing is free, the
+    wait is at targets of this instance, or else at the nearest peer.
+
+    :param peers: :class:`PeerLoad` in the order of preference.
+    """
+    steps = [AtTarget(wait=False)] if owns_targets else []
+    steps += [AtPeer(peer, wait=False) for peer in peers[:MAX_PEERS] if peer.free != 0]
+    if owns_targets:
+        steps.append(AtTarget(wait=True))
+    elif peers:
+        steps.append(AtPeer(peers[0], wait=True))
+    return steps
--- /dev/null
+++ b/turmericrudder/ini.py
@@ -0,0 +1,143 @@
+"""Typed access to INI sections, with errors that say where and why."""
+
+import configparser
+import re
+
+from .address import Address
+from .errors import AddressInvalid
+
+__all__ = ["Section", "read_ini"]
+
+_DURATION_RE = re.compile(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h)?")
+_SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, None: 1.0}
+_SIZE_RE = re.compile(r"(\d+)\s*(KiB|MiB|B)?")
+_BYTES_PER_UNIT = {"B": 1, "KiB": 1024, "MiB": 1024**2, None: 1}
+_BOOLEANS = {"yes": True, "true": True, "no": False, "false": False}
+
+
+def read_ini(text, file, error):
+    """Return the sections of an INI text in the order of the file.
+
+    :param text: the content of the file.
+    :param file: the name to put into errors.
+    :param error: the ``_DocumentInvalid`` subclass to raise.
+    :returns: dict of section name to :class:`Section`.
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None, delimiters=("=",), default_section="\0"
+    )
+    parser.optionxform = str
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as exc:
+        section = getattr(exc, "section", None) or "-"
+        key = getattr(exc, "option", None) or "-"
+        raise error(file, section, key, str(exc).replace("\n", " ")) from None
+    return {
+        name: Section(file, name, dict(parser[name]), error)
+        for name in parser.sections()
+    }
+
+
+class Section:
+    """One section of an INI file, read key by key.
+
+    Each ``get_`` method removes its key, so that :meth:`check_empty` can
+    refuse the keys nobody asked for.
+    """
+
+    __slots__ = ("_error", "_values", "file", "name")
+
+    def __init__(self, file, name, values, error):
+        self.file = file
+        self.name = name
+        self._values = values
+        self._error = error
+
+    def __iter__(self):
+        return iter(self._values)
+
+    def __contains__(self, key):
+        return key in self._values
+
+    def copy(self):
+        """Return a second reader with the keys that are still unread."""
+        return Section(self.file, self.name, dict(self._values), self._error)
+
+    def refuse(self, key, reason):
+        """Return the error for a key of this section, ready to be raised."""
+        return self._error(self.file, self.name, key, reason)
+
+    def get_text(self, key, default=None):
+        """Return the text of a key; without a default the key must be there."""
+        value = self._values.pop(key, default)
+        if value is None:
+            raise self.refuse(key, "missing")
+        return value
+
+    def get_choice(self, key, choices, default=None):
+        """Return a text that is one of ``choices``."""
+        value = self.get_text(key, default)
+        if value not in choices:
+            raise self.refuse(key, f"{value!r} is none of {', '.join(choices)}")
+        return value
+
+    def get_list(self, key, default=None):
+        """Return the parts of a comma-separated text as a tuple."""
+        value = self.get_text(key, default)
+        return tuple(part.strip() for part in value.split(",") if part.strip())
+
+    def get_int(self, key, default=None, low=0, high=2**31):
+        """Return a whole number from ``low`` to ``high``."""
+        value = self.get_text(key, None if default is None else str(default))
+        if not value.lstrip("-").isdecimal():
+            raise self.refuse(key, f"{value!r} is not a whole number")
+        return self._check_range(key, int(value), low, high)
+
+    def get_float(self, key, default=None, low=0.0, high=1e12):
+        """Return a number from ``low`` to ``high``."""
+        value = self.get_text(key, None if default is None else str(default))
+        try:
+            number = float(value)
+        except ValueError:
+            raise self.refuse(key, f"{value!r} is not a number") from None
+        return self._check_range(key, number, low, high)
+
+    def get_bool(self, key, default=None):
+        """Return ``yes``/``true`` as true and ``no``/``false`` as false."""
+        value = self.get_text(key, default)
+        if value.lower() not in _BOOLEANS:
+            raise self.refuse(key, f"{value!r} is neither yes nor no")
+        return _BOOLEANS[value.lower()]
+
+    def get_duration(self, key, default=None):
+        """Return a time such as ``250ms``, ``5s`` or ``2m`` in seconds."""
+        return self._get_scaled(key, default, _DURATION_RE, _SECONDS_PER_UNIT, float)
+
+    def get_size(self, key, default=None):
+        """Return a size such as ``64KiB`` in bytes."""
+        return self._get_scaled(key, default, _SIZE_RE, _BYTES_PER_UNIT, int)
+
+    def get_address(self, key):
+        """Return an ``IP:PORT`` as :class:`~turmericrudder.address.Address`."""
+        try:
+            return Address.parse(self.get_text(key))
+        except AddressInvalid as exc:
+            raise self.refuse(key, str(exc)) from None
+
+    def check_empty(self):
+        """Refuse the first key that no ``get_`` method has asked for."""
+        for key in self._values:
+            raise self.refuse(key, "unknown key")
+
+    def _get_scaled(self, key, default, pattern, units, number):
+        value = self.get_text(key, default)
+        found = pattern.fullmatch(value)
+        if not found:
+            raise self.refuse(key, f"{value!r} has not the form NUMBER UNIT")
+        return number(found[1]) * units[found[2]]
+
+    def _check_range(self, key, number, low, high):
+        if not low <= number <= high:
+            raise self.refuse(key, f"{number} is not from {low} to {high}")
+        return number
--- /dev/null
+++ b/turmericrudder/lookup/planner.py
@@ -0,0 +1,99 @@
+"""Look-up answers from the configuration and view in force."""
+
+import ipaddress
+
+import msgspec
+
+from ..errors import ConfigurationMissing, LookupInvalid
+from .answer import LookupAnswer, LookupEntry
+from .placement import order_entries
+
+__all__ = ["LookupPlanner"]
+
+# Clients whose addresses differ in the last bits only share an order.
+BLOCK_SHIFT = 8
+ORDERS_PER_PLACE = 16
+
+
+class LookupPlanner:
+    """Answers look-ups; answers are kept until view or configuration change."""
+
+    __slots__ = ("_answers", "_configuration", "_here", "_members", "_prefixes", "_ttl")
+
+    def __init__(self, here, ttl):
+        """Prepare without configuration.
+
+        :param here: this instance's member record.
+        :param ttl: seconds callers may cache an answer.
+        """
+        self._here = here
+        self._ttl = ttl
+        self._configuration = None
+        self._members = []
+        self._prefixes = {}
+        self._answers = {}
+
+    def update(self, configuration, members, prefixes):
+        """Take the state that answers are made of.
+
+        :param members: records that may be named.
+        :param prefixes: {instance name: operation-key prefix it issues}.
+        """
+        self._configuration = configuration
+        self._members = members
+        self._prefixes = prefixes
+        self._answers.clear()
+
+    def get_answer(self, service, client):
+        """Return the encoded :class:`LookupAnswer` for a client.
+
+        :param client: IP number as text.
+        :raises ConfigurationMissing: if none is in force yet.
+        :raises LookupInvalid: if the service or the IP number is unknown.
+        """
+        configuration = self._configuration
+        if configuration is None:
+            raise ConfigurationMissing("no configuration is known here yet")
+        if service not in configuration.services:
+            raise LookupInvalid(f"unknown service {service!r}")
+        place, slice_ = self._locate(client)
+        answer = self._answers.get((service, place, slice_))
+        if answer is None:
+            answer = msgspec.json.encode(self._make_answer(service, place, slice_))
+            self._answers[service, place, slice_] = answer
+        return answer
+
+    def get_home_region(self, client):
+        """Return the region of a client's block; unknown ones belong here."""
+        place, _ = self._locate(client)
+        return self._configuration.domains.get(place, place)
+
+    def _locate(self, client):
+        try:
+            ip = ipaddress.ip_address(client)
+        except ValueError:
+            raise LookupInvalid(f"{client!r} is no IP number") from None
+        place = None
+        if ip.version == 4:
+            place = self._configuration.blocks.get_place_of(int(ip))
+        slice_ = (int(ip) >> BLOCK_SHIFT) % ORDERS_PER_PLACE
+        return place or self._here.region, slice_
+
+    def _make_answer(self, service, place, slice_):
+        configuration = self._configuration
+        members = order_entries(place, slice_, self._members, configuration.domains)
+        entries = tuple(
+            LookupEntry(m.name, m.callers, m.region, m.failure_domain) for m in members
+        )
+        prefix = ""
+        if members:
+            own = self._prefixes.get(self._here.name, "")
+            prefix = self._prefixes.get(members[0].name) or own
+        return LookupAnswer(
+            service=service,
+            place=place,
+            entries=entries,
+            ttl=self._ttl,
+            revision=configuration.revision,
+            key_prefix=prefix,
+        )
--- /dev/null
+++ b/turmericrudder/membership/view.py
@@ -0,0 +1,71 @@
+"""The merged records of all instances, without sockets or clocks."""
+
+import hashlib
+
+from .member import Status
+
+__all__ = ["View"]
+
+DIGEST_BYTES = 8
+
+
+class View:
+    """Records by name; merging is commutative, associative and idempotent.
+
+    Two views that saw the same records are equal, in whatever order they came.
+    """
+
+    __slots__ = ("_members", "version")
+
+    def __init__(self, members=()):
+        self._members = {}
+        self.version = 0
+        for member in members:
+            self.merge(member)
+
+    def __iter__(self):
+        return iter(self._members.values())
+
+    def __len__(self):
+        return len(self._members)
+
+    def get(self, name):
+        """Return the record of an instance, or ``None``."""
+        return self._members.get(name)
+
+    def merge(self, member):
+        """Take in a record; return whether it was news."""
+        known = self._members.get(member.name)
+        if known is not None and known.rank >= member.rank:
+            return False
+        self._members[member.name] = member
+        self.version += 1
+        return True
+
+    def forget(self, name):
+        """Drop the record of an instance that is gone."""
+        if self._members.pop(name, None) is not None:
+            self.version += 1
+
+    def get_live(self):
+        """Return the records with status ``LIVE``, by name."""
+        return self._get_with(Status.LIVE)
+
+    def get_reachable(self):
+        """Return the starting, live and leaving records, by name."""
+        return self._get_with(Status.STARTING, Status.LIVE, Status.LEAVING)
+
+    def get_gone(self):
+        """Return the failed records, by name."""
+        return self._get_with(Status.FAILED)
+
+    def get_digest(self):
+        """Return a short hash that is equal for equal views."""
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for name in sorted(self._members):
+            digest.update(repr((name, *self._members[name].rank)).encode())
+        return digest.digest()
+
+    def _get_with(self, *statuses):
+        found = [m for m in self._members.values() if m.status in statuses]
+        return sorted(found, key=lambda member: member.name)
--- /dev/null
+++ b/turmericrudder/rendezvous.py
@@ -0,0 +1,23 @@
+"""Rendezvous hashing: equal views choose equally, small changes move little."""
+
+import hashlib
+import math
+
+__all__ = ["get_score", "rank_names"]
+
+_SCALE = 2.0**64
+
+
+def get_score(key, name, weight=1.0):
+    """Return the score of a name for a key; the highest score is chosen.
+
+    :param weight: share of keys the name should get, relative to others.
+    """
+    digest = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+    uniform = (int.from_bytes(digest, "big") + 0.5) / _SCALE
+    return -weight / math.log(uniform)
+
+
+def rank_names(key, names):
+    """Return the names from the highest score to the lowest."""
+    return sorted(names, key=lambda name: (-get_score(key, name), name))
--- /dev/null
+++ b/turmericrudder/routing/obstacle.py
@@ -0,0 +1,20 @@
+"""Why a target takes no further request."""
+
+from enum import Enum
+
+__all__ = ["Obstacle"]
+
+
+class Obstacle(Enum):
+    """Reasons, also written to the log and to refusals."""
+
+    NO_TARGET = "no_target"
+    DRAINING = "draining"
+    EJECTED = "ejected"
+    FULL = "full"
+    LONG_FULL = "long_full"
+    CAP_FULL = "cap_full"
+    QUEUE_FULL = "queue_full"
+    WAITED = "waited"
+    NOT_OWNED = "not_owned"
+    LINK_FULL = "link_full"
--- /dev/null
+++ b/turmericrudder/routing/target_state.py
@@ -0,0 +1,174 @@
+"""What an owner knows of one target."""
+
+from .obstacle import Obstacle
+from .result import Cancelled, Failed, Finished, Shed
+from .takeover import Takeover
+
+__all__ = ["TargetState"]
+
+LATENCY_WEIGHT = 0.2
+LATENCY_HALF_LIFE = 2.0  # seconds without an answer
+FAILURES_TO_EJECT = 3
+EJECT_MIN = 0.5  # seconds
+EJECT_MAX = 15.0  # seconds
+CANCEL_GRACE = 0.05  # seconds until an upstream has noticed a cancellation
+SHED_PAUSE = 0.1  # seconds
+DRAIN_BELIEF = 5.0  # seconds a refusal counts more than a report
+
+
+class TargetState:
+    """Counts of one owned target, exact because all work passes its owner."""
+
+    __slots__ = (
+        "_drain_until",
+        "_ejected_until",
+        "_failures",
+        "_grace",
+        "_latency",
+        "_latency_at",
+        "adoption",
+        "draining",
+        "drained",
+        "foreign",
+        "foreign_cap",
+        "in_flight",
+        "listed_leaving",
+        "long",
+        "region",
+        "service",
+        "takeover",
+        "target",
+    )
+
+    def __init__(self, target, service, region, foreign_cap, takeover):
+        self.target = target
+        self.service = service
+        self.region = region
+        self.foreign_cap = foreign_cap
+        self.takeover = takeover
+        self.in_flight = self.foreign = self.long = 0
+        self.adoption = None
+        self.draining = False
+        self.drained = False
+        self.listed_leaving = False
+        self._grace = []
+        self._failures = 0
+        self._ejected_until = 0.0
+        self._drain_until = 0.0
+        self._latency = None
+        self._latency_at = 0.0
+
+    def is_leaving(self):
+        """Return whether target, list or operator say that it takes no work."""
+        return self.draining or self.drained or self.listed_leaving
+
+    def get_free(self, now):
+        """Return the number of slots that can be granted."""
+        if self.is_leaving() or now < self._ejected_until:
+            return 0
+        if self.adoption is not None and not self.adoption.is_open():
+            return 0
+        return max(0, self.service.slots - self._get_held(now))
+
+    def get_obstacle(self, work, foreign_limit, now):
+        """Return why this target cannot take ``work``, or ``None``.
+
+        :param foreign_limit: slots that work of other regions may hold now.
+        """
+        if self.is_leaving():
+            return Obstacle.DRAINING
+        if now < self._ejected_until:
+            return Obstacle.EJECTED
+        if self._get_held(now) >= self.service.slots:
+            return Obstacle.FULL
+        if self.adoption is not None and not self.adoption.is_open():
+            return Obstacle.FULL
+        if work.long and self.long >= self.service.long_slots:
+            return Obstacle.LONG_FULL
+        if self.is_foreign(work) and self.foreign >= foreign_limit:
+            return Obstacle.CAP_FULL
+        return None
+
+    def is_foreign(self, work):
+        """Return whether the work's home is another region."""
+        return work.home_region != self.region
+
+    def take(self, work):
+        """Count a request that is sent now."""
+        self.in_flight += 1
+        self.long += work.long
+        self.foreign += self.is_foreign(work)
+        if self.adoption is not None:
+            self.adoption.take()
+
+    def give_back(self, work, result, now):
+        """Count a request that ended, and learn from how it ended."""
+        self.in_flight -= 1
+        self.long -= work.long
+        self.foreign -= self.is_foreign(work)
+        match result:
+            case Finished(latency):
+                self._failures = 0
+                self._learn_latency(latency, now)
+            case Shed(draining):
+                if draining:
+                    self.draining = True
+                    self._drain_until = now + DRAIN_BELIEF
+                self._ejected_until = max(self._ejected_until, now + SHED_PAUSE)
+                self._meet_other_owner(now)
+            case Failed():
+                self._grace.append(now + CANCEL_GRACE)
+                self._count_failure(now)
+            case Cancelled():
+                self._grace.append(now + CANCEL_GRACE)
+
+    def report(self, in_flight, draining, now):
+        """Take a load report; it can only lower what is believed to be free.
+
+        :param in_flight: requests the target runs, by its own word.
+        """
+        if draining or now >= self._drain_until:
+            self.draining = draining
+        if self.adoption is not None:
+            self.adoption.report(in_flight, self.in_flight, self.service.slots)
+        elif in_flight > self.in_flight and self.takeover.get_reserved(now):
+            self.takeover.push_back(now)
+
+    def get_latency(self, now):
+        """Return the decayed latency estimate in seconds."""
+        if self._latency is None:
+            return 0.0
+        return self._latency * 0.5 ** ((now - self._latency_at) / LATENCY_HALF_LIFE)
+
+    def is_ejected(self, now):
+        """Return whether failures keep the target out for now."""
+        return now < self._ejected_until
+
+    def _meet_other_owner(self, now):
+        self.takeover.push_back(now)
+        if self.adoption is not None:
+            self.adoption.withdraw()
+
+    def _get_held(self, now):
+        if self._grace:
+            self._grace = [end for end in self._grace if end > now]
+        reserved = self.takeover.get_reserved(now)
+        return self.in_flight + len(self._grace) + reserved
+
+    def _learn_latency(self, latency, now):
+        known = self.get_latency(now)
+        if self._latency is None or latency > known:
+            # A slowdown is believed at once, a recovery answer by answer.
+            known = latency if self._latency is None else (known + latency) / 2
+        else:
+            known += LATENCY_WEIGHT * (latency - known)
+        self._latency = known
+        self._latency_at = now
+
+    def _count_failure(self, now):
+        self._failures += 1
+        if self._failures >= FAILURES_TO_EJECT:
+            doublings = min(self._failures - FAILURES_TO_EJECT, 10)
+            self._ejected_until = now + min(EJECT_MAX, EJECT_MIN * 2**doublings)
+            # Work returns slot by slot, as after the loss of an owner.
+            self.takeover = Takeover(self.service.slots, self._ejected_until, False)
--- /dev/null
+++ b/turmericrudder/settings/__init__.py
@@ -0,0 +1,15 @@
+"""Settings of one process, read from its INI file at start."""
+
+from .entry import EntrySettings, read_entry_settings
+from .limits import LimitSettings
+from .operator import OperatorSettings, read_operator_settings
+from .timing import TimingSettings
+
+__all__ = [
+    "EntrySettings",
+    "LimitSettings",
+    "OperatorSettings",
+    "TimingSettings",
+    "read_entry_settings",
+    "read_operator_settings",
+]
--- /dev/null
+++ b/turmericrudder/settings/entry.py
@@ -0,0 +1,96 @@
+"""The settings file of an entry instance."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..address import Address
+from ..errors import SettingsInvalid
+from ..ini import Section, read_ini
+from .limits import LimitSettings
+from .peers import read_addresses, read_peer_key
+from .timing import TimingSettings
+
+__all__ = ["EntrySettings", "read_entry_settings"]
+
+_SECTIONS = ("instance", "listen", "store", "peers", "timing", "limits", "log")
+_REQUIRED = ("instance", "listen", "store", "peers")
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Everything an entry instance has to be told.
+
+    ``listen_callers`` takes look-ups and requests, ``listen_peers`` requests
+    forwarded by other instances, ``listen_control`` messages between
+    instances. ``seeds`` are control addresses to dial first.
+    """
+
+    name: str
+    workspace: str
+    region: str
+    failure_domain: str
+    listen_callers: Address
+    listen_peers: Address
+    listen_control: Address
+    store: Address
+    peer_key: str
+    seeds: tuple[Address, ...]
+    timing: TimingSettings
+    limits: LimitSettings
+    log_format: str
+    log_level: str
+
+    def __repr__(self):
+        return f"<EntrySettings {self.name}>"
+
+
+def read_entry_settings(path):
+    """Return the settings in the INI file at ``path``.
+
+    :raises SettingsInvalid: naming file, section, key and reason.
+    """
+    file = str(path)
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsInvalid(file, "-", "-", str(exc)) from None
+    sections = read_ini(text, file, SettingsInvalid)
+    _check_names(file, sections)
+    for name in _SECTIONS:
+        sections.setdefault(name, Section(file, name, {}, SettingsInvalid))
+    settings = _read_sections(sections)
+    for section in sections.values():
+        section.check_empty()
+    return settings
+
+
+def _check_names(file, sections):
+    for name in sections:
+        if name not in _SECTIONS:
+            raise SettingsInvalid(file, name, "-", "unknown section")
+    for name in _REQUIRED:
+        if name not in sections:
+            raise SettingsInvalid(file, name, "-", "missing section")
+
+
+def _read_sections(sections):
+    instance = sections["instance"]
+    listen = sections["listen"]
+    peers = sections["peers"]
+    log = sections["log"]
+    return EntrySettings(
+        name=instance.get_text("name"),
+        workspace=instance.get_text("workspace"),
+        region=instance.get_text("region"),
+        failure_domain=instance.get_text("failure_domain"),
+        listen_callers=listen.get_address("callers"),
+        listen_peers=listen.get_address("peers"),
+        listen_control=listen.get_address("control"),
+        store=sections["store"].get_address("address"),
+        peer_key=read_peer_key(peers),
+        seeds=read_addresses(peers, "seeds"),
+        timing=TimingSettings.read(sections["timing"]),
+        limits=LimitSettings.read(sections["limits"]),
+        log_format=log.get_choice("format", ("plain", "json"), "plain"),
+        log_level=log.get_choice("level", ("debug", "info", "warning"), "info"),
+    )
--- /dev/null
+++ b/turmericrudder/settings/operator.py
@@ -0,0 +1,56 @@
+"""The settings file of the command line."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..address import Address
+from ..errors import SettingsInvalid
+from ..ini import read_ini
+from .peers import read_addresses, read_peer_key
+
+__all__ = ["OperatorSettings", "read_operator_settings"]
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Where the platform is, and which entry instances to ask.
+
+    :param entries: peer addresses of entry instances.
+    """
+
+    workspace: str
+    author: str
+    store: Address
+    entries: tuple[Address, ...]
+    peer_key: str
+
+    def __repr__(self):
+        return f"<OperatorSettings {self.workspace}>"
+
+
+def read_operator_settings(path):
+    """Return the settings in the INI file at ``path``.
+
+    :raises SettingsInvalid: naming file, section, key and reason.
+    """
+    file = str(path)
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsInvalid(file, "-", "-", str(exc)) from None
+    sections = read_ini(text, file, SettingsInvalid)
+    for name in sections:
+        if name != "operator":
+            raise SettingsInvalid(file, name, "-", "unknown section")
+    if "operator" not in sections:
+        raise SettingsInvalid(file, "operator", "-", "missing section")
+    section = sections["operator"]
+    settings = OperatorSettings(
+        workspace=section.get_text("workspace"),
+        author=section.get_text("author"),
+        store=section.get_address("store"),
+        entries=read_addresses(section, "entries"),
+        peer_key=read_peer_key(section),
+    )
+    section.check_empty()
+    return settings
