--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of core protocols, checked exhaustively."""
--- /dev/null
+++ b/tests/test_differential.py
@@ -0,0 +1,243 @@
+"""Pure decisions against naive versions that are obviously right."""
+
+import ipaddress
+import random
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from turmericrudder.address import Address
+from turmericrudder.configuration import (
+    BlockTable,
+    Configuration,
+    RequestClass,
+    Service,
+    Source,
+    Target,
+    join_chunks,
+    split_chunks,
+)
+from turmericrudder.lookup import order_entries
+from turmericrudder.membership import Member, Status, View
+from turmericrudder.rendezvous import rank_names
+from turmericrudder.routing import (
+    Cancelled,
+    Finished,
+    Grant,
+    Ownership,
+    TargetPool,
+    TokenBucket,
+    Work,
+    allot_cap,
+)
+
+settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=150)
+settings.load_profile("fixed")
+
+PLACES = ("gulf", "delta", "piedmont")
+
+
+@st.composite
+def blocks(draw):
+    """Nested and disjoint blocks within one small network."""
+    found = {}
+    for _ in range(draw(st.integers(0, 30))):
+        length = draw(st.integers(18, 32))
+        start = draw(st.integers(0, 2**14 - 1)) << (32 - length) & 0x3FFF
+        found[0x7F000000 + start, length] = draw(st.sampled_from(PLACES))
+    return [(start, length, place) for (start, length), place in found.items()]
+
+
+def find_naively(table, number):
+    holding = [b for b in table if b[0] <= number < b[0] + 2 ** (32 - b[1])]
+    return max(holding, key=lambda block: block[1])[2] if holding else None
+
+
+@given(blocks(), st.lists(st.integers(0, 2**14 + 10), max_size=40))
+def test_block_table_finds_longest_prefix(table, offsets):
+    built = BlockTable(table)
+    edges = [b[0] - 0x7F000000 + d for b in table for d in (-1, 0, 1)]
+    for offset in [*offsets, *edges]:
+        number = 0x7F000000 + offset
+        assert built.get_place_of(number) == find_naively(table, number)
+        text = str(ipaddress.IPv4Address(number))
+        assert built.get_place(text) == built.get_place_of(number)
+
+
+@given(blocks(), st.text(max_size=50))
+def test_chunks_join_to_the_same_source(table, text):
+    source = Source(text, text[::-1], tuple(sorted(table)), ("a",))
+    assert join_chunks(split_chunks(source)) == source
+
+
+def test_change_of_one_block_changes_one_chunk():
+    table = [(number << 8, 24, PLACES[number % 3]) for number in range(100_000)]
+    before = split_chunks(Source("", "", tuple(table)))
+    table[50_000] = (50_000 << 8, 24, "elsewhere")
+    after = split_chunks(Source("", "", tuple(table)))
+    assert len(before) > 10
+    assert len(set(after) - set(before)) <= 2
+    assert max(map(len, before)) < 1_000_000
+
+
+@given(st.integers(0, 60), st.integers(1, 12))
+def test_cap_is_allotted_whole_even_and_monotone(cap, count):
+    names = [f"target-{number}" for number in range(count)]
+    shares = allot_cap(cap, "service", names)
+    assert sum(shares.values()) == cap
+    assert max(shares.values()) - min(shares.values()) <= 1
+    assert shares == allot_cap(cap, "service", names[::-1])
+    more = allot_cap(cap + 1, "service", names)
+    assert all(more[name] >= shares[name] for name in names)
+
+
+@given(st.lists(st.tuples(st.floats(0, 1), st.integers(1, 500)), max_size=60))
+def test_token_bucket_never_exceeds_rate_and_burst(steps):
+    rate, burst_seconds = 1000.0, 0.5
+    bucket = TokenBucket(rate, burst_seconds, 0.0)
+    now, sent = 0.0, 0
+    for pause, count in steps:
+        now += pause
+        now += bucket.take(count, now)
+        sent += count
+        assert sent <= rate * (now + burst_seconds) + 1e-6
+
+
+MEMBERS = st.builds(
+    Member,
+    name=st.sampled_from(["a", "b", "c"]),
+    incarnation=st.integers(1, 3),
+    nonce=st.just("n"),
+    sequence=st.integers(0, 2),
+    status=st.sampled_from(list(Status)),
+    region=st.just("r"),
+    failure_domain=st.just("d"),
+    callers=st.just(""),
+    peers=st.just(""),
+    control=st.just(""),
+)
+
+
+@given(st.lists(MEMBERS, max_size=20), st.randoms())
+def test_views_merge_alike_in_any_order(members, shuffler):
+    naive = {}
+    for member in members:
+        if member.name not in naive or member.rank > naive[member.name].rank:
+            naive[member.name] = member
+    shuffled = [*members, *members]
+    shuffler.shuffle(shuffled)
+    view = View(shuffled)
+    assert {member.name: member for member in view} == naive
+    assert view.get_digest() == View(naive.values()).get_digest()
+
+
+def make_member(name, region, domain):
+    return Member(name, 1, "n", 0, Status.LIVE, region, domain, "", "", "")
+
+
+FLEET = [
+    make_member(f"{region}-{domain}-{number}", region, f"{region}-{domain}")
+    for region in PLACES
+    for domain in "ab"
+    for number in range(4)
+]
+DOMAINS = {member.failure_domain: member.region for member in FLEET}
+
+
+@given(st.sampled_from(PLACES), st.integers(0, 50), st.integers(0, 23))
+def test_order_is_near_first_and_moves_little(place, block, lost):
+    order = order_entries(place, block, FLEET, DOMAINS)
+    assert order == order_entries(place, block, FLEET[::-1], DOMAINS)
+    assert order[0].region == place
+    assert order[1].region == place
+    assert order[1].failure_domain != order[0].failure_domain
+    assert order[-1].region != place
+    rest = [member for member in FLEET if member != FLEET[lost]]
+    if FLEET[lost] != order[0]:
+        assert order_entries(place, block, rest, DOMAINS)[0] == order[0]
+
+
+@given(st.sets(st.integers(0, 40), min_size=1), st.integers(0, 40))
+def test_rendezvous_moves_only_what_the_lost_name_had(numbers, lost):
+    names = [f"n{number}" for number in numbers]
+    left = [name for name in names if name != f"n{lost}"]
+    for key in range(20):
+        first = rank_names(key, names)[0]
+        if left and first in left:
+            assert rank_names(key, left)[0] == first
+
+
+SERVICE = Service(
+    "reads", "t", (RequestClass("c", "*", "*", False, True, False, 1, 1, 1),), 5, 3,
+    {"gulf": 4}, 0.5, 10.0, 2, 0.04, 429, 503, "", "",
+)  # fmt: skip
+
+
+def make_configuration(count):
+    targets = {
+        f"t{number}": Target(
+            f"t{number}", "reads", "gulf-a", Address("127.0.0.1", 9000 + number)
+        )
+        for number in range(count)
+    }
+    return Configuration(
+        1, "w", {"gulf-a": "gulf"}, {"gulf-a": 1}, {"reads": SERVICE}, targets,
+        BlockTable([]), frozenset(), 1_000_000,
+    )  # fmt: skip
+
+
+@given(st.integers(0, 2**32), st.integers(1, 4))
+def test_pool_counts_like_a_naive_list(seed, count):
+    rng = random.Random(seed)
+    pool = TargetPool(random.Random(seed))
+    configuration = make_configuration(count)
+    owned = dict.fromkeys(configuration.targets, False)
+    pool.set_owned(configuration, owned, frozenset(), 0.0)
+    now, held = 10.0, []
+    for _ in range(200):
+        now += rng.random() * 0.1
+        if held and rng.random() < 0.4:
+            grant = held.pop(rng.randrange(len(held)))
+            pool.give_back(grant, Finished(0.01), now)
+        else:
+            home = rng.choice(["gulf", "delta"])
+            answer = pool.claim(Work("reads", home, rng.random() < 0.5, now + 1), now)
+            if isinstance(answer, Grant):
+                held.append(answer)
+        foreign = sum(grant.work.home_region != "gulf" for grant in held)
+        assert foreign <= 4
+        for name in configuration.targets:
+            mine = [grant for grant in held if grant.state.target.name == name]
+            assert len(mine) <= 5
+            assert sum(grant.work.long for grant in mine) <= 3
+    assert pool.get_in_flight() == len(held)
+
+
+@given(st.sets(st.integers(0, 23), min_size=1))
+def test_every_target_has_one_owner_near_it(numbers):
+    configuration = replace(make_configuration(10), domains=DOMAINS)
+    members = [FLEET[number] for number in numbers]
+    ownership = Ownership(configuration, members, {"gulf-a"})
+    for name in configuration.targets:
+        owner = ownership.get(name)
+        near = [m.name for m in members if m.failure_domain == "gulf-a"]
+        region = [m.name for m in members if m.region == "gulf"]
+        if near:
+            assert owner.name in near
+            assert not owner.adopted
+        elif region:
+            assert owner.name in region
+            assert owner.adopted
+        else:
+            assert owner is None
+
+
+def test_cancelled_work_holds_its_slot_until_the_target_noticed():
+    pool = TargetPool(random.Random(1))
+    pool.set_owned(make_configuration(1), {"t0": False}, frozenset(), 0.0)
+    work = Work("reads", "gulf", False, 99.0)
+    grants = [pool.claim(work, 10.0) for _ in range(5)]
+    pool.give_back(grants[0], Cancelled(), 10.0)
+    assert not isinstance(pool.claim(work, 10.01), Grant)
+    assert isinstance(pool.claim(work, 10.1), Grant)
--- a/turmericrudder/lookup/placement.py
+++ b/turmericrudder/lookup/placement.py
@@ -5,6 +5,7 @@
 __all__ = ["order_entries"]
 
 MAX_ENTRIES = 6
+MIN_ELSEWHERE = 2
 
 
 def order_entries(place, block, members, regions_of_domains):
@@ -24,7 +25,7 @@
     by_name = {member.name: member for member in members}
     ordered = [by_name[name] for name in ranked]
     ordered.sort(key=lambda member: _get_distance(member, place, region))
-    return _spread(ordered)[:MAX_ENTRIES]
+    return _spread(ordered)
 
 
 def _get_distance(member, place, region):
@@ -34,13 +35,18 @@
 
 
 def _spread(ordered):
-    """Move the first member of each further failure domain to the front."""
+    """Cut the order so that all kinds of places are in it.
+
+    Within a region, the first member of each failure domain goes first.
+    """
     if not ordered:
         return []
     region = ordered[0].region
     near = [member for member in ordered if member.region == region]
     far = [member for member in ordered if member.region != region]
-    return _interleave(near) + _interleave(far)
+    elsewhere = min(MIN_ELSEWHERE, len(far))
+    near = _interleave(near)[: MAX_ENTRIES - elsewhere]
+    return near + _interleave(far)[: MAX_ENTRIES - len(near)]
 
 
 def _interleave(members):
--- a/turmericrudder/membership/watchers.py
+++ b/turmericrudder/membership/watchers.py
@@ -13,28 +13,22 @@
 def get_watchers(member, members):
     """Return the members that expect heartbeats of ``member``.
 
-    Some are in its failure domain, some in its region, some in others, so that
-    every side of a network partition has watchers of the other.
+    They follow it on a ring. Some are in its failure domain, some in its
+    region, some in others, so that every side of a network partition has
+    watchers of the other.
     """
-    groups = ([], [], [])
-    for other in members:
-        if other.name != member.name:
-            groups[_get_distance(member, other)].append(other)
-    watchers = []
-    wanted = (WATCHERS_IN_DOMAIN, WATCHERS_IN_REGION, WATCHERS_ELSEWHERE)
-    for group, count in zip(groups, wanted, strict=True):
-        group.sort(key=lambda other: _get_weight(member.name, other.name))
-        watchers += group[:count]
-    return watchers
+    ring = _build_ring(members)
+    return _walk(member, ring, _find(member, ring))
 
 
 def get_watched(member, members):
     """Return the members of which ``member`` expects heartbeats."""
+    ring = _build_ring(members)
     return [
         other
-        for other in members
+        for index, other in enumerate(ring)
         if other.name != member.name
-        and any(w.name == member.name for w in get_watchers(other, members))
+        and any(w.name == member.name for w in _walk(other, ring, index))
     ]
 
 
@@ -66,5 +60,29 @@
     return 1 if member.region == other.region else 2
 
 
-def _get_weight(watched, watcher):
-    return hashlib.blake2b(f"{watched} {watcher}".encode(), digest_size=8).digest()
+def _build_ring(members):
+    return sorted(members, key=lambda member: _get_position(member.name))
+
+
+def _get_position(name):
+    return hashlib.blake2b(name.encode(), digest_size=8).digest(), name
+
+
+def _find(member, ring):
+    names = [other.name for other in ring]
+    return names.index(member.name) if member.name in names else -1
+
+
+def _walk(member, ring, index):
+    """Return the next members on the ring, as many of each kind as wanted."""
+    wanted = [WATCHERS_IN_DOMAIN, WATCHERS_IN_REGION, WATCHERS_ELSEWHERE]
+    watchers = []
+    for step in range(1, len(ring)):
+        other = ring[(index + step) % len(ring)]
+        distance = _get_distance(member, other)
+        if wanted[distance]:
+            wanted[distance] -= 1
+            watchers.append(other)
+            if not any(wanted):
+                break
+    return watchers
