Hedge slow reads and supervise the tasks of an instance

Cause: a read that waits for a slowed target has no second chance, and an unexpected error in one task would have ended the instance unattended.

Change: the router is split into target attempts, a runner that races a second target after the 95th percentile, and a runner for peers; hedges and retries share one budget of 5%. Tasks are supervised and restarted with an event.

--- a/turmericrudder/daemon/application.py
+++ b/turmericrudder/daemon/application.py
@@ -61,6 +61,8 @@
             await self._refuse(responder, exc, path)
         except UpstreamCut as exc:
             await self._cut(responder, exc, path)
+        except Exception as exc:
+            await self._fail(responder, exc, path)
         seconds = time.perf_counter() - began
         name = "lookup" if path == "/lookup" else "request"
         self._instance.metrics.record(f"{name}_seconds", seconds)
@@ -151,6 +153,11 @@
         if not responder.started:
             await responder.refuse(502, "cut", Verdict.MAY_HAVE_RUN)
 
+    async def _fail(self, responder, exc, path):
+        self._instance.log.write(catalogue.TASK_FAILED, path=path, error=repr(exc))
+        if not responder.started:
+            await responder.refuse(500, "internal", Verdict.MAY_HAVE_RUN)
+
 
 def split_service(scope):
     """Return (service, path and query behind it as bytes) of a request."""
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -12,7 +12,16 @@
 from ..control import Channel, Handover, Heartbeat, TargetsLeaving
 from ..errors import PeerUnreachable
 from ..events import EventLog, catalogue, set_up_logging
-from ..forwarding import Dispatcher, LinkPacer, Operations, PeerLinks, Router, Upstreams
+from ..forwarding import (
+    Dispatcher,
+    LinkPacer,
+    Operations,
+    PeerLinks,
+    PeerRunner,
+    Router,
+    TargetRunner,
+    Upstreams,
+)
 from ..forwarding.dispatcher import Handover as HandoverWord
 from ..forwarding.dispatcher import SetOwned
 from ..forwarding.exchange import Answered
@@ -20,7 +29,7 @@
 from ..lookup import LookupPlanner
 from ..membership import Member, Status
 from ..metrics import Metrics
-from ..routing import Ownership, TargetPool
+from ..routing import Budget, Ownership, TargetPool
 from ..store import StoreClient
 from .application import CallerApplication
 from .configurator import Configurator
@@ -35,6 +44,9 @@
 
 NONCE_BYTES = 4
 NS_PER_MS = 1_000_000
+RESTART_PAUSE = 1.0  # seconds
+EXTRA_SHARE = 0.05  # retries and hedges for each request
+EXTRA_BURST = 10
 PART_TIMEOUT = 3.0  # seconds
 STOP_STEP = 0.05  # seconds
 LEFT_PAUSE = 0.2  # seconds for the last messages to leave
@@ -55,7 +67,7 @@
         self.membership = Membership(
             here, settings, self._channel, self.log, self._describe
         )
-        self.planner = LookupPlanner(here, settings.timing.lookup_ttl)
+        self.planner = LookupPlanner(here, settings.timing.lookup_ttl, self.log)
         self._store = StoreClient(settings.store)
         repository = Repository(self._store, settings.workspace)
         self.configurator = Configurator(
@@ -67,16 +79,7 @@
         self.dispatcher = Dispatcher(TargetPool(random.Random(here.nonce)), self.log)
         self._upstreams = Upstreams()
         self._peer_links = PeerLinks()
-        self.router = Router(
-            here,
-            settings,
-            self.dispatcher,
-            self._upstreams,
-            self._peer_links,
-            self.pacer,
-            self.log,
-            random.Random(here.nonce),
-        )
+        self.router = self._make_router(here)
         self._monitor = Monitor(
             settings,
             self.dispatcher,
@@ -177,7 +180,7 @@
                 self._run_changes,
                 self._run_handover,
             ):
-                tasks.start_soon(task)
+                tasks.start_soon(self._supervise, task)
             self.log.write(
                 catalogue.INSTANCE_STARTED,
                 callers=self.settings.listen_callers,
@@ -191,6 +194,31 @@
         await self._store.aclose()
         self.log.write(catalogue.INSTANCE_STOPPED)
 
+    def _make_router(self, here):
+        budget = Budget(EXTRA_SHARE, EXTRA_BURST)
+        settings, log = self.settings, self.log
+        return Router(
+            here,
+            self.dispatcher.pool,
+            TargetRunner(settings, self.dispatcher, self._upstreams, budget, log),
+            PeerRunner(here, settings, self._peer_links, self.pacer, log),
+            self.pacer,
+            budget,
+            log,
+            random.Random(here.nonce),
+        )
+
+    async def _supervise(self, task):
+        """Run a task for ever; an error is logged and the task starts anew."""
+        while True:
+            try:
+                await task()
+            except Exception as exc:
+                self.log.write(
+                    catalogue.TASK_FAILED, task=task.__qualname__, error=repr(exc)
+                )
+                await anyio.sleep(RESTART_PAUSE)
+
     async def _wait_stop(self, tasks):
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             stopping = False
--- a/turmericrudder/daemon/peer_application.py
+++ b/turmericrudder/daemon/peer_application.py
@@ -51,6 +51,12 @@
             )
             if not responder.started:
                 await responder.refuse(502, "cut", Verdict.MAY_HAVE_RUN)
+        except Exception as exc:
+            self._instance.log.write(
+                catalogue.TASK_FAILED, path=scope["path"], error=repr(exc)
+            )
+            if not responder.started:
+                await responder.refuse(500, "internal", Verdict.MAY_HAVE_RUN)
 
     async def _serve(self, scope, receive, responder):
         path = scope["path"]
--- a/turmericrudder/forwarding/__init__.py
+++ b/turmericrudder/forwarding/__init__.py
@@ -8,10 +8,12 @@
 from .outcome import Collector
 from .pacer import LinkPacer
 from .peer_links import PeerLinks
+from .peer_runner import PeerRunner
 from .request import Request
 from .responder import Responder
 from .router import Router
 from .step import Passed, Ran, Turned, Unknown
+from .target_runner import TargetRunner
 from .upstreams import Upstreams
 
 __all__ = [
@@ -27,10 +29,12 @@
     "Operations",
     "Passed",
     "PeerLinks",
+    "PeerRunner",
     "Ran",
     "Request",
     "Responder",
     "Router",
+    "TargetRunner",
     "Turned",
     "Unknown",
     "Upstreams",
--- a/turmericrudder/forwarding/dispatcher.py
+++ b/turmericrudder/forwarding/dispatcher.py
@@ -6,7 +6,7 @@
 import anyio
 
 from ..events import catalogue
-from ..routing import Cancelled, Grant, Refusal, Waiting, Work
+from ..routing import Cancelled, Failed, Grant, Refusal, Waiting, Work
 
 __all__ = ["Claim", "Dispatcher", "GiveBack", "Handover", "Report", "SetOwned"]
 
@@ -122,7 +122,7 @@
             case Claim(work, wait, reply):
                 self._claim(work, wait, reply, now)
             case GiveBack(grant, result):
-                self.pool.give_back(grant, result, now)
+                self._give_back(grant, result, now)
                 self._tell_released(grant.state.target.name)
             case SetOwned(configuration, owned, predecessors):
                 self._set_owned(configuration, owned, predecessors, now)
@@ -131,6 +131,13 @@
             case Report(target, in_flight, draining):
                 self._report(target, in_flight, draining, now)
 
+    def _give_back(self, grant, result, now):
+        was_ejected = grant.state.is_ejected(now)
+        self.pool.give_back(grant, result, now)
+        if isinstance(result, Failed) and grant.state.is_ejected(now) > was_ejected:
+            target = grant.state.target.name
+            self._log.write(catalogue.TARGET_EJECTED, target=target)
+
     def _claim(self, work, wait, reply, now):
         if reply.abandoned:
             return
--- a/turmericrudder/forwarding/exchange.py
+++ b/turmericrudder/forwarding/exchange.py
@@ -34,6 +34,7 @@
     """The head of an answer; the body still has to be read."""
 
     __slots__ = ("_chunks", "_prefetched", "_response", "headers", "status")
+    __match_args__ = ("status",)
 
     def __init__(self, response):
         self.status = response.status
--- /dev/null
+++ b/turmericrudder/forwarding/head.py
@@ -0,0 +1,34 @@
+"""Headers and time limits of a request that is sent on."""
+
+import anyio
+
+from .headers import DEADLINE, KEY
+
+__all__ = ["get_left", "get_limits", "get_upstream_headers"]
+
+MS_PER_SECOND = 1000
+MIN_LEFT = 0.001  # seconds
+
+
+def get_left(request):
+    """Return the seconds until the request's deadline, at least a moment."""
+    return max(MIN_LEFT, request.expires - anyio.current_time())
+
+
+def get_limits(request, margin=0.0):
+    """Return (seconds to the answer's head, seconds between reads).
+
+    :param margin: seconds to add for a peer that answers by itself.
+    """
+    item = request.request_class
+    first_byte = min(item.first_byte, get_left(request)) + margin
+    return first_byte, min(item.idle, item.deadline)
+
+
+def get_upstream_headers(request):
+    """Return the headers for an upstream, with deadline and key."""
+    left = str(int(get_left(request) * MS_PER_SECOND)).encode()
+    headers = [*request.headers, (DEADLINE, left)]
+    if request.key:
+        headers.append((KEY, request.key.encode()))
+    return headers
--- /dev/null
+++ b/turmericrudder/forwarding/peer_runner.py
@@ -0,0 +1,95 @@
+"""Forward requests to other instances."""
+
+from ..events import catalogue
+from ..verdict import Verdict
+from .exchange import NoAnswer, NotSent
+from .head import get_limits, get_upstream_headers
+from .headers import HOME_REGION, ORIGIN, PEER_KEY, ROLE, VERDICT, WAIT, get_header
+from .step import Passed, Ran, Turned, Unknown
+
+__all__ = ["ROLE_HOME", "ROLE_OWNER", "PeerRunner"]
+
+# A peer answers by itself shortly after the deadline; this is for silent ones.
+MARGIN = 0.25  # seconds
+ROLE_OWNER = b"owner"
+ROLE_HOME = b"home"
+
+
+class PeerRunner:
+    """Sends requests to the owners of targets and the homes of keys."""
+
+    __slots__ = ("_here", "_links", "_log", "_pacer", "_peer_key", "_prefetch_bytes")
+
+    def __init__(self, here, settings, links, pacer, log):
+        self._here = here
+        self._peer_key = settings.peer_key.encode()
+        self._prefetch_bytes = settings.limits.replay_bytes
+        self._links = links
+        self._pacer = pacer
+        self._log = log
+
+    async def run(self, member, role, wait, request, responder, collector):
+        """Return how the request ended at a peer.
+
+        :param wait: whether the peer may queue it for a slot.
+        :raises UpstreamCut: if the answer broke off after its head.
+        """
+        self._log.write(
+            catalogue.ROUTE_PEER,
+            service=request.service.name,
+            request_class=request.request_class.name,
+            peer=member.name,
+            role=role.decode(),
+        )
+        exchanged, link = await self._links.exchange(
+            member.peers,
+            request.method,
+            b"/" + request.service.name.encode() + request.path,
+            self._get_headers(request, role, wait),
+            self._pacer.iter_paced(member.region, request.body.iter_chunks()),
+            get_limits(request, MARGIN),
+        )
+        match exchanged:
+            case NotSent(reason):
+                return Turned(reason)
+            case NoAnswer(reason):
+                return Unknown(reason)
+        kept = False
+        try:
+            ended = await self._read(exchanged, request, responder, collector)
+            kept = True
+            return ended
+        finally:
+            await exchanged.aclose()
+            if kept:
+                await self._links.release(member.peers, link)
+            else:
+                await link.aclose()
+
+    async def _read(self, answered, request, responder, collector):
+        verdict = get_header(answered.headers, VERDICT)
+        if not request.request_class.long or verdict is not None:
+            await answered.prefetch(self._prefetch_bytes)
+        if verdict is not None:
+            return _read_verdict(verdict)
+        await responder.pass_on(answered, collector)
+        return Passed()
+
+    def _get_headers(self, request, role, wait):
+        return [
+            *get_upstream_headers(request),
+            (PEER_KEY, self._peer_key),
+            (ORIGIN, self._here.name.encode()),
+            (HOME_REGION, request.work.home_region.encode()),
+            (ROLE, role),
+            (WAIT, b"1" if wait else b"0"),
+        ]
+
+
+def _read_verdict(value):
+    """Return what a peer's refusal means."""
+    if value == Verdict.NOT_RUN.value.encode():
+        return Turned("peer")
+    if value == Verdict.RAN.value.encode():
+        return Ran("peer")
+    return Unknown("peer")
--- /dev/null
+++ b/turmericrudder/forwarding/target_runner.py
@@ -0,0 +1,145 @@
+"""Run requests at targets owned here, with a second target for slow reads."""
+
+import anyio
+
+from ..errors import UpstreamCut
+from ..events import catalogue
+from ..routing import Grant, HedgeDelay, Refusal
+from .step import Passed, Turned
+from .target_attempt import TargetAttempt
+
+__all__ = ["TargetRunner"]
+
+
+class TargetRunner:
+    """Claims slots, races attempts, and passes the first answer on."""
+
+    __slots__ = (
+        "_budget",
+        "_delays",
+        "_dispatcher",
+        "_log",
+        "_prefetch_bytes",
+        "_upstreams",
+    )
+
+    def __init__(self, settings, dispatcher, upstreams, budget, log):
+        """Prepare.
+
+        :param budget: bounds hedges, together with retries.
+        """
+        self._prefetch_bytes = settings.limits.replay_bytes
+        self._dispatcher = dispatcher
+        self._upstreams = upstreams
+        self._budget = budget
+        self._log = log
+        self._delays = {}
+
+    async def run(self, request, responder, wait, collector):
+        """Return how the request ended at targets owned here.
+
+        :param wait: whether to queue for a slot.
+        :raises UpstreamCut: if the answer broke off after its head.
+        """
+        answer = await self._dispatcher.claim(request.work, wait)
+        if isinstance(answer, Refusal):
+            return Turned(answer.obstacle.value)
+        attempts = [self._start(answer, request)]
+        try:
+            winner = await self._race(attempts, request)
+            if winner.answered is None:
+                return winner.ended
+            return await self._pass_on(winner, request, responder, collector)
+        finally:
+            for attempt in attempts:
+                await attempt.aclose()
+
+    async def _race(self, attempts, request):
+        """Return the first attempt with an answer, or the last without."""
+        delay = self._get_delay(request)
+        if delay is None:
+            await attempts[0].run(self._get_prefetch(request))
+            return attempts[0]
+        sender, receiver = anyio.create_memory_object_stream(2)
+        with sender, receiver:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._run_one, attempts[0], request, sender)
+                winner = await _receive_within(receiver, delay)
+                if winner is None and await self._add_hedge(attempts, request):
+                    tasks.start_soon(self._run_one, attempts[1], request, sender)
+                for _ in range(len(attempts)):
+                    winner = winner or await receiver.receive()
+                    if winner.answered is not None or attempts[-1] is winner:
+                        break
+                    winner = None if len(attempts) > 1 else winner
+                winner = winner or attempts[0]
+                tasks.cancel_scope.cancel()
+        return winner
+
+    async def _run_one(self, attempt, request, sender):
+        await attempt.run(self._get_prefetch(request))
+        sender.send_nowait(attempt)
+
+    async def _add_hedge(self, attempts, request):
+        """Start a second attempt if a slot and the budget allow it."""
+        first = attempts[0]
+        now = anyio.current_time()
+        first.grant.state.note_slow(now - first.began, now)
+        answer = await self._dispatcher.claim(request.work, False)
+        if not isinstance(answer, Grant):
+            return False
+        if answer.state is first.grant.state or not self._budget.spend():
+            await TargetAttempt(
+                answer, request, self._dispatcher, self._upstreams
+            ).aclose()
+            return False
+        self._log.write(
+            catalogue.ROUTE_HEDGED,
+            service=request.service.name,
+            slow=first.target.name,
+            second=answer.state.target.name,
+        )
+        attempts.append(self._start(answer, request))
+        return True
+
+    def _start(self, grant, request):
+        self._log.write(
+            catalogue.ROUTE_TARGET,
+            service=request.service.name,
+            request_class=request.request_class.name,
+            target=grant.state.target.name,
+            home_region=request.work.home_region,
+            in_flight=grant.state.in_flight,
+        )
+        return TargetAttempt(grant, request, self._dispatcher, self._upstreams)
+
+    async def _pass_on(self, attempt, request, responder, collector):
+        try:
+            await responder.pass_on(attempt.answered, collector)
+        except UpstreamCut:
+            attempt.fail()
+            raise
+        finally:
+            await attempt.answered.aclose()
+        attempt.finish()
+        if request.request_class.idempotent:
+            self._get_clock(request).record(attempt.latency)
+        return Passed()
+
+    def _get_prefetch(self, request):
+        return 0 if request.request_class.long else self._prefetch_bytes
+
+    def _get_delay(self, request):
+        item = request.request_class
+        can_repeat = item.idempotent and not item.long and request.body.is_complete()
+        return self._get_clock(request).get() if can_repeat else None
+
+    def _get_clock(self, request):
+        key = (request.service.name, request.request_class.name)
+        return self._delays.setdefault(key, HedgeDelay())
+
+
+async def _receive_within(receiver, seconds):
+    with anyio.move_on_after(seconds):
+        return await receiver.receive()
+    return None
--- a/turmericrudder/lookup/planner.py
+++ b/turmericrudder/lookup/planner.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..errors import ConfigurationMissing, LookupInvalid
+from ..events import catalogue
 from .answer import LookupAnswer, LookupEntry
 from .placement import order_entries
 
@@ -18,9 +19,17 @@
 class LookupPlanner:
     """Answers look-ups; answers are kept until view or configuration change."""
 
-    __slots__ = ("_answers", "_configuration", "_here", "_members", "_prefixes", "_ttl")
-
-    def __init__(self, here, ttl):
+    __slots__ = (
+        "_answers",
+        "_configuration",
+        "_here",
+        "_log",
+        "_members",
+        "_prefixes",
+        "_ttl",
+    )
+
+    def __init__(self, here, ttl, log):
         """Prepare without configuration.
 
         :param here: this instance's member record.
@@ -28,6 +37,7 @@
         """
         self._here = here
         self._ttl = ttl
+        self._log = log
         self._configuration = None
         self._members = []
         self._prefixes = {}
@@ -85,6 +95,13 @@
         entries = tuple(
             LookupEntry(m.name, m.callers, m.region, m.failure_domain) for m in members
         )
+        self._log.write(
+            catalogue.PLACEMENT_CHANGED,
+            service=service,
+            place=place,
+            slice=slice_,
+            order=",".join(member.name for member in members),
+        )
         prefix = ""
         if members:
             own = self._prefixes.get(self._here.name, "")
--- a/turmericrudder/routing/__init__.py
+++ b/turmericrudder/routing/__init__.py
@@ -3,6 +3,7 @@
 from .budget import Budget
 from .caps import allot_cap
 from .choice import choose_target
+from .hedge_delay import HedgeDelay
 from .link import TokenBucket
 from .obstacle import Obstacle
 from .ownership import Owner, Ownership
@@ -20,6 +21,7 @@
     "Failed",
     "Finished",
     "Grant",
+    "HedgeDelay",
     "Obstacle",
     "Owner",
     "Ownership",
--- /dev/null
+++ b/turmericrudder/routing/hedge_delay.py
@@ -0,0 +1,35 @@
+"""After which time a second target is asked as well."""
+
+from collections import deque
+
+__all__ = ["HedgeDelay"]
+
+KEPT = 200
+MIN_KEPT = 40
+REFRESH = 20
+QUANTILE = 0.95
+MIN_DELAY = 0.005  # seconds
+
+
+class HedgeDelay:
+    """A high quantile of recent latencies, refreshed every few answers."""
+
+    __slots__ = ("_delay", "_latencies", "_since")
+
+    def __init__(self):
+        self._latencies = deque(maxlen=KEPT)
+        self._since = 0
+        self._delay = None
+
+    def record(self, latency):
+        """Take the seconds that an answer's head took."""
+        self._latencies.append(latency)
+        self._since += 1
+        if self._since >= REFRESH and len(self._latencies) >= MIN_KEPT:
+            self._since = 0
+            ranked = sorted(self._latencies)
+            self._delay = max(MIN_DELAY, ranked[int(len(ranked) * QUANTILE)])
+
+    def get(self):
+        """Return the delay in seconds, ``None`` while too little is known."""
+        return self._delay
--- a/turmericrudder/routing/target_state.py
+++ b/turmericrudder/routing/target_state.py
@@ -134,6 +134,12 @@
         elif in_flight > self.in_flight and self.takeover.get_reserved(now):
             self.takeover.push_back(now)
 
+    def note_slow(self, elapsed, now):
+        """Note that a request has been waiting for ``elapsed`` seconds."""
+        if elapsed > self.get_latency(now):
+            self._latency = elapsed
+            self._latency_at = now
+
     def get_latency(self, now):
         """Return the decayed latency estimate in seconds."""
         if self._latency is None:
