--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,221 @@
+"""Failures brought about on real processes: kill, pause, outage, drain."""
+
+import signal
+
+import anyio
+import pytest
+
+from bench.cluster import Cluster, post_json
+from turmericrudder.caller import Caller, NoAnswer, RequestNotRun
+from turmericrudder.cli.exits import ExitCode
+
+FAIL_LIMIT = 3.0  # seconds until a failed instance is out of look-up answers
+DRAIN_LIMIT = 2.0  # seconds until a leaving upstream gets no new work
+FORCE_LIMIT = 10.0  # seconds until a revision is in force everywhere
+STEP = 0.1  # seconds
+
+
+@pytest.fixture(scope="module")
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture(scope="module")
+async def cluster(anyio_backend, tmp_path_factory):
+    async with Cluster("clearsight", tmp_path_factory.mktemp("logs")) as cluster:
+        await anyio.sleep(3.0)
+        yield cluster
+
+
+@pytest.fixture
+async def caller(cluster):
+    caller = make_caller(cluster, "gulf-a-1")
+    yield caller
+    await caller.aclose()
+
+
+def make_caller(cluster, *names, client="127.11.0.5"):
+    addresses = [str(cluster.entries[name].listen_callers) for name in names]
+    return Caller(addresses, local_address=client)
+
+
+async def get_names(cluster, entry, service="lensreader"):
+    caller = make_caller(cluster, entry)
+    try:
+        answer = await caller.look_up(service)
+    finally:
+        await caller.aclose()
+    return [named.name for named in answer.entries]
+
+
+async def wait_for(condition, limit):
+    began = anyio.current_time()
+    while not await condition():
+        assert anyio.current_time() - began < limit
+        await anyio.sleep(STEP)
+
+
+@pytest.mark.anyio
+async def test_killed_instance_leaves_lookups_and_comes_back(cluster):
+    async def is_named():
+        return "gulf-b-1" in await get_names(cluster, "gulf-a-1")
+
+    async def is_gone():
+        return not await is_named()
+
+    assert await is_named()
+    cluster.kill("gulf-b-1")
+    await wait_for(is_gone, FAIL_LIMIT)
+    cluster.start_entry("gulf-b-1")
+    await cluster.wait_serving("gulf-b-1")
+    await wait_for(is_named, FAIL_LIMIT)
+
+
+@pytest.mark.anyio
+async def test_paused_home_never_runs_a_key_called_not_run(cluster):
+    other = make_caller(cluster, "delta-a-1", client="127.13.0.5")
+    home = make_caller(cluster, "gulf-a-1")
+    prefix = (await home.look_up("holdbook")).key_prefix
+    name = prefix.partition("~")[0]
+    verdicts = {}
+    cluster.send_signal(name, signal.SIGSTOP)
+    try:
+        for number in range(5):
+            key = f"{prefix}.paused-home-{number}"
+            verdicts[key] = await ask(other, key, 8.0)
+    finally:
+        cluster.send_signal(name, signal.SIGCONT)
+    await anyio.sleep(2.0)
+    direct = Caller([], local_address="127.11.0.5")
+    for key in verdicts:
+        await ask_entry(direct, cluster.entries[name], key)
+    runs = await count_runs(cluster)
+    for key, verdict in verdicts.items():
+        assert verdict in ("not_run", "may_have_run")
+        if verdict == "not_run":
+            assert runs.get(key, 0) == 0
+    assert "not_run" in verdicts.values()
+    for caller in (other, home, direct):
+        await caller.aclose()
+
+
+async def ask(caller, key, timeout):
+    try:
+        await caller.operate(
+            "POST", "holdbook", "/reservations/1", key=key, timeout=timeout
+        )
+    except NoAnswer as exc:
+        return exc.verdict.value
+    return "answered"
+
+
+async def ask_entry(caller, entry, key):
+    """Send a key to one instance, whatever look-ups say."""
+    response = await caller._pool.request(
+        "POST",
+        f"http://{entry.listen_callers}/holdbook/reservations/1",
+        headers={"Idempotency-Key": key},
+    )
+    return response.status
+
+
+async def count_runs(cluster):
+    runs = {}
+    for journal in (await cluster.get_journals()).values():
+        for key, count in journal["runs"].items():
+            runs[key] = runs.get(key, 0) + count
+    return runs
+
+
+@pytest.mark.anyio
+async def test_store_outage_stops_changes_only(cluster, caller):
+    store = cluster.operator.store
+    await post_json(store, "/admin/fault", {"outage": True})
+    try:
+        refused = cluster.run_cli("config", "apply", cluster.directory, check=False)
+        assert refused.returncode == ExitCode.STORE_UNAVAILABLE
+        assert "Traceback" not in refused.stderr
+        answer = await caller.request("GET", "lensreader", "/prescriptions/1")
+        assert answer.status == 200
+        cluster.kill("delta-b-1")
+        cluster.start_entry("delta-b-1")
+        await cluster.wait_serving("delta-b-1")
+    finally:
+        await post_json(store, "/admin/fault", {})
+
+
+@pytest.mark.anyio
+async def test_revision_is_in_force_everywhere_and_conflicts_are_told(cluster):
+    drained = cluster.run_cli("drain", "lensreader-01", "--wait")
+    assert "in force everywhere" in drained.stdout
+    late = cluster.run_cli(
+        "config", "apply", cluster.directory, "--expect", "1", check=False
+    )
+    assert late.returncode == ExitCode.REVISION_CONFLICT
+    assert "drain lensreader-01" in late.stderr
+    back = cluster.run_cli("config", "rollback", "1", "--wait")
+    assert "in force everywhere" in back.stdout
+    history = cluster.run_cli("config", "history").stdout
+    assert "rollback to 1" in history.splitlines()[0]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("signal_kind", ["operator", "report", "refusal", "list"])
+async def test_leaving_upstream_gets_no_new_work(cluster, caller, signal_kind):
+    name = {"operator": "lensreader-01", "report": "lensreader-02"}.get(
+        signal_kind, "lensreader-08"
+    )
+    address = cluster.get_upstreams()[name]
+    stop = False
+
+    async def load():
+        while not stop:
+            try:
+                await caller.request("GET", "lensreader", "/prescriptions/1")
+            except RequestNotRun:
+                await anyio.sleep(0.01)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(12):
+            tasks.start_soon(load)
+        await anyio.sleep(0.5)
+        await tell_leaving(cluster, signal_kind, name, address)
+        await anyio.sleep(DRAIN_LIMIT)
+        before = await get_started(cluster, name)
+        await anyio.sleep(1.0)
+        assert await get_started(cluster, name) == before
+        stop = True
+    await tell_back(cluster, signal_kind, name, address)
+
+
+async def tell_leaving(cluster, kind, name, address):
+    match kind:
+        case "operator":
+            cluster.run_cli("drain", name)
+        case "report":
+            await post_json(address, "/admin/fault", {"drain": True, "report_lag": 0})
+        case "refusal":
+            await post_json(address, "/admin/fault", {"drain": True, "tell": False})
+        case "list":
+            record = {
+                "name": name,
+                "role": "upstream",
+                "failure_domain": "",
+                "state": "leaving",
+                "address": address,
+            }
+            store = cluster.operator.store
+            await post_json(store, "/admin/instances", [record])
+
+
+async def tell_back(cluster, kind, name, address):
+    if kind == "operator":
+        cluster.run_cli("undrain", name, "--wait")
+    elif kind == "list":
+        await post_json(cluster.operator.store, "/admin/instances", [])
+    await post_json(address, "/admin/fault", {})
+
+
+async def get_started(cluster, name):
+    journal = (await cluster.get_journals())[name]
+    return sum(journal["paths"].values())
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -13,6 +13,7 @@
 from ..errors import PeerUnreachable
 from ..events import EventLog, catalogue, set_up_logging
 from ..forwarding import (
+    CallerGone,
     Dispatcher,
     LinkPacer,
     Operations,
@@ -26,6 +27,7 @@
 from ..forwarding.dispatcher import SetOwned
 from ..forwarding.exchange import Answered
 from ..forwarding.headers import PEER_KEY
+from ..forwarding.interrupt import Interrupted, run_until
 from ..lookup import LookupPlanner
 from ..membership import Member, Status
 from ..metrics import Metrics
@@ -119,21 +121,14 @@
             self._open -= 1
 
     async def run_watched(self, request, work):
-        """Run a coroutine, cancelled if the caller goes away.
+        """Run an awaitable, cancelled if the caller goes away.
 
-        :raises CallerGone: never; a caller that is gone gets no answer.
+        :raises CallerGone: if it did.
         """
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_when_gone, request.body, tasks.cancel_scope)
-            error = None
-            try:
-                await work
-            except Exception as exc:
-                # Raised below, outside the group, which would wrap it.
-                error = exc
-            tasks.cancel_scope.cancel()
-        if error is not None:
-            raise error
+        try:
+            await run_until(request.body.wait_gone, work)
+        except Interrupted:
+            raise CallerGone("the caller closed its connection") from None
 
     def get_status(self):
         """Return the document that ``turmericrudder status`` shows."""
@@ -384,11 +379,6 @@
     await EntryInstance(settings).run()
 
 
-async def _cancel_when_gone(body, scope):
-    await body.wait_gone()
-    scope.cancel()
-
-
 def _get_silent(view, configuration):
     """Return the domains whose instances may run unseen from here."""
     planned = {}
--- a/turmericrudder/forwarding/operations.py
+++ b/turmericrudder/forwarding/operations.py
@@ -15,6 +15,7 @@
 )
 from ..errors import PeerUnreachable, RequestRefused
 from ..events import catalogue
+from ..membership import Status
 from ..operation import (
     Finished,
     HomeTable,
@@ -28,6 +29,7 @@
 )
 from ..rendezvous import rank_names
 from ..verdict import Verdict
+from .interrupt import Interrupted, run_until
 from .outcome import Collector
 from .step import Passed, Ran, Turned, Unknown
 
@@ -203,10 +205,10 @@
                 self._refuse_unknown(key, "running")
 
     async def _ask_home(self, request, responder, key):
-        member = self._view.get(key.prefix.home)
-        if member is not None and member.nonce == key.prefix.home_nonce:
+        member = self._get_home(key)
+        if member is not None:
             self._log.write(catalogue.OPERATION_HOME, key=key, home=member.name)
-            ended = await self._router.forward_home(member, request, responder)
+            ended = await self._forward_home(member, request, responder, key)
             if isinstance(ended, Passed):
                 return
             if isinstance(ended, Ran):
@@ -216,6 +218,26 @@
                 raise RequestRefused(503, "home_refused", retry_after=RETRY_AFTER)
         await self._ask_witness(responder, key)
 
+    async def _forward_home(self, member, request, responder, key):
+        """Return how it ended at the home, or that the home went out of reach."""
+
+        async def wait_failed():
+            while self._get_home(key) is not None or responder.started:
+                await anyio.sleep(self._timing.heartbeat)
+
+        work = self._router.forward_home(member, request, responder)
+        try:
+            return await run_until(wait_failed, work)
+        except Interrupted:
+            return Unknown("home_failed")
+
+    def _get_home(self, key):
+        """Return the record of a key's home if it is believed to be alive."""
+        member = self._view.get(key.prefix.home)
+        if member is None or member.nonce != key.prefix.home_nonce:
+            return None
+        return None if member.status in (Status.FAILED, Status.LEFT) else member
+
     async def _ask_witness(self, responder, key):
         answer = await self._call_witness(key, KeyVoid(str(key.prefix), key.part))
         match answer:
--- a/turmericrudder/forwarding/target_runner.py
+++ b/turmericrudder/forwarding/target_runner.py
@@ -61,20 +61,21 @@
             await attempts[0].run(self._get_prefetch(request))
             return attempts[0]
         sender, receiver = anyio.create_memory_object_stream(2)
+        running, ended = 1, None
         with sender, receiver:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._run_one, attempts[0], request, sender)
-                winner = await _receive_within(receiver, delay)
-                if winner is None and await self._add_hedge(attempts, request):
+                ended = await _receive_within(receiver, delay)
+                if ended is not None:
+                    running -= 1
+                elif await self._add_hedge(attempts, request):
                     tasks.start_soon(self._run_one, attempts[1], request, sender)
-                for _ in range(len(attempts)):
-                    winner = winner or await receiver.receive()
-                    if winner.answered is not None or attempts[-1] is winner:
-                        break
-                    winner = None if len(attempts) > 1 else winner
-                winner = winner or attempts[0]
+                    running += 1
+                while running and (ended is None or ended.answered is None):
+                    ended = await receiver.receive()
+                    running -= 1
                 tasks.cancel_scope.cancel()
-        return winner
+        return ended
 
     async def _run_one(self, attempt, request, sender):
         await attempt.run(self._get_prefetch(request))
