Use one connection type for callers, peers and targets

Cause: the reference caller used httpcore's pool, which does not keep up with many requests at once, and knew less about what had been sent than the links between instances do.

Change: the caller sends over the same links; a try can be limited in number.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,6 +3,7 @@
 import signal
 
 import anyio
+import httpcore
 import pytest
 
 from bench.cluster import Cluster, post_json
@@ -86,16 +87,15 @@
     finally:
         cluster.send_signal(name, signal.SIGCONT)
     await anyio.sleep(2.0)
-    direct = Caller([], local_address="127.11.0.5")
     for key in verdicts:
-        await ask_entry(direct, cluster.entries[name], key)
+        await ask_entry(cluster.entries[name], key)
     runs = await count_runs(cluster)
     for key, verdict in verdicts.items():
         assert verdict in ("not_run", "may_have_run")
         if verdict == "not_run":
             assert runs.get(key, 0) == 0
     assert "not_run" in verdicts.values()
-    for caller in (other, home, direct):
+    for caller in (other, home):
         await caller.aclose()
 
 
@@ -109,13 +109,14 @@
     return "answered"
 
 
-async def ask_entry(caller, entry, key):
+async def ask_entry(entry, key):
     """Send a key to one instance, whatever look-ups say."""
-    response = await caller._pool.request(
-        "POST",
-        f"http://{entry.listen_callers}/holdbook/reservations/1",
-        headers={"Idempotency-Key": key},
-    )
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request(
+            "POST",
+            f"http://{entry.listen_callers}/holdbook/reservations/1",
+            headers={"Idempotency-Key": key},
+        )
     return response.status
 
 
--- a/turmericrudder/caller/caller.py
+++ b/turmericrudder/caller/caller.py
@@ -1,31 +1,28 @@
 """The caller's side of look-ups, fail-over and operation keys."""
 
 import secrets
+from dataclasses import dataclass
 
 import anyio
-import httpcore
 import msgspec
 
+from ..errors import UpstreamCut
+from ..forwarding.exchange import Answered, NotSent
+from ..forwarding.exchange import NoAnswer as NoLinkAnswer
+from ..forwarding.headers import VERDICT, get_header
+from ..forwarding.links import Links
 from ..lookup import LookupAnswer
-from ..verdict import Verdict
 from .answer import CallerAnswer
 from .errors import AnswerLost, NoAnswer, RequestNotRun
 
 __all__ = ["Caller"]
 
-CONNECT_TIMEOUT = 0.5  # seconds
 LOOKUP_TIMEOUT = 1.0  # seconds
 PART_BYTES = 12
 PAUSE = 0.1  # seconds between rounds over all entries
+MIN_LEFT = 0.001  # seconds
 MS_PER_SECOND = 1000
 
-_NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout)
-_FAILURES = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
-
 
 class Caller:
     """Sends requests to the entry instances that a look-up names."""
@@ -38,16 +35,11 @@
         """
         self._entries = list(entries)
         self._answers = {}
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=1000,
-            max_keepalive_connections=64,
-            keepalive_expiry=10.0,
-            local_address=local_address,
-        )
+        self._links = Links(local_address)
 
     async def aclose(self):
         """Close all connections."""
-        await self._pool.aclose()
+        await self._links.aclose()
 
     async def look_up(self, service):
         """Return the :class:`LookupAnswer` for a service, cached for its ttl.
@@ -65,14 +57,17 @@
         return fresh or answer
 
     async def request(
-        self, method, service, path, *, body=b"", headers=(), timeout=10.0
+        self, method, service, path, *, body=b"", headers=(), timeout=10.0, tries=0
     ):
         """Send a request that may be sent again after an unknown end.
 
+        :param headers: pairs of bytes.
+        :param timeout: seconds until the answer must be whole.
+        :param tries: how often to send at most, 0 for as often as time allows.
         :raises RequestNotRun: if it did not run before the timeout.
         :raises NoAnswer: if it stays unknown.
         """
-        call = _Call(method, service, path, body, list(headers), timeout)
+        call = _Call(method, service, path, body, list(headers), timeout, tries)
         return await self._repeat(call, "")
 
     async def operate(
@@ -85,7 +80,7 @@
         :raises AnswerLost: if it ran, and only its answer is lost.
         :raises NoAnswer: if it may have run; ask again with its ``key``.
         """
-        call = _Call(method, service, path, body, list(headers), timeout)
+        call = _Call(method, service, path, body, list(headers), timeout, 0)
         return await self._repeat(call, key or await self.make_key(service))
 
     async def make_key(self, service):
@@ -101,17 +96,10 @@
     async def _look_up(self, service, known):
         known_entries = [entry.address for entry in known.entries] if known else []
         for address in dict.fromkeys([*known_entries, *self._entries]):
-            limits = dict.fromkeys(("connect", "read", "write", "pool"), LOOKUP_TIMEOUT)
-            try:
-                response = await self._pool.request(
-                    "GET",
-                    f"http://{address}/lookup?service={service}",
-                    extensions={"timeout": limits},
-                )
-            except _FAILURES:
-                continue
-            if response.status == 200:
-                return msgspec.json.decode(response.content, type=LookupAnswer)
+            target = b"/lookup?service=" + service.encode()
+            read = await self._exchange(address, "GET", target, [], b"", LOOKUP_TIMEOUT)
+            if isinstance(read, _Read) and read.status == 200:
+                return msgspec.json.decode(read.body, type=LookupAnswer)
         return None
 
     async def _repeat(self, call, key):
@@ -138,33 +126,57 @@
                     case NoAnswer():
                         reason = ended.reason
                         may_have_run = True
-            await anyio.sleep(PAUSE)
+            if call.get_left() > 0:
+                await anyio.sleep(PAUSE)
         if may_have_run or key:
             raise NoAnswer(reason, key)
         raise RequestNotRun(reason)
 
     async def _try(self, call, address, key):
+        left = max(MIN_LEFT, call.get_left())
         call.tries += 1
-        headers = list(call.headers)
-        left = call.get_left()
-        headers.append(("Turmericrudder-Deadline-Ms", str(int(left * MS_PER_SECOND))))
+        deadline = str(int(left * MS_PER_SECOND)).encode()
+        headers = [*call.headers, (b"Turmericrudder-Deadline-Ms", deadline)]
         if key:
-            headers.append(("Idempotency-Key", key))
-        limits = {"connect": CONNECT_TIMEOUT, "read": left, "write": left, "pool": left}
+            headers.append((b"Idempotency-Key", key.encode()))
+        target = f"/{call.service}{call.path}".encode()
+        read = await self._exchange(
+            address, call.method, target, headers, call.body, left
+        )
+        match read:
+            case _Read():
+                return _judge(read, address, call.tries, key)
+            case NotSent(reason) if not key:
+                return RequestNotRun(reason)
+            case NotSent(reason) | NoLinkAnswer(reason):
+                # Under a key, an earlier try may still be on its way.
+                return NoAnswer(reason, key)
+
+    async def _exchange(self, address, method, target, headers, body, left):
+        """Return :class:`_Read`, ``NotSent`` or the links' ``NoAnswer``."""
+        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
         try:
-            response = await self._pool.request(
-                call.method,
-                f"http://{address}/{call.service}{call.path}",
-                headers=headers,
-                content=call.body,
-                extensions={"timeout": limits},
-            )
-        except _NOT_SENT as exc:
-            # Under a key, an earlier try may still be on its way.
-            return NoAnswer(repr(exc), key) if key else RequestNotRun(repr(exc))
-        except _FAILURES as exc:
-            return NoAnswer(repr(exc), key)
-        return _read(response, address, call.tries, key)
+            with anyio.fail_after(left):
+                answered, link = await self._links.exchange(
+                    address, method, target, headers, _iter_body(body), (left, left)
+                )
+                if not isinstance(answered, Answered):
+                    return answered
+                chunks = [chunk async for chunk in answered.iter_chunks()]
+                await answered.aclose()
+                await self._links.release(address, link)
+                return _Read(answered.status, answered.headers, b"".join(chunks))
+        except (TimeoutError, UpstreamCut) as exc:
+            return NoLinkAnswer(type(exc).__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _Read:
+    """An answer of an entry instance, read to its end."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
 
 
 class _Call:
@@ -172,6 +184,7 @@
 
     __slots__ = (
         "_expires",
+        "_limit",
         "body",
         "headers",
         "method",
@@ -180,16 +193,20 @@
         "tries",
     )
 
-    def __init__(self, method, service, path, body, headers, timeout):
+    def __init__(self, method, service, path, body, headers, timeout, limit):
         self.method = method
         self.service = service
         self.path = path
         self.body = body
         self.headers = headers
         self.tries = 0
+        self._limit = limit
         self._expires = anyio.current_time() + timeout
 
     def get_left(self):
+        """Return the seconds left, none after the last allowed try."""
+        if self._limit and self.tries >= self._limit:
+            return 0.0
         return self._expires - anyio.current_time()
 
 
@@ -197,18 +214,17 @@
     return 400 <= ended.status < 500
 
 
-def _read(response, address, tries, key):
-    reason = response.content.decode("latin-1")
-    verdict = ""
-    for name, value in response.headers:
-        if name.lower() == b"turmericrudder-verdict":
-            verdict = value.decode("latin-1")
-    if verdict == Verdict.NOT_RUN.value:
-        return RequestNotRun(reason, key, response.status)
-    if verdict == Verdict.RAN.value:
-        return AnswerLost(reason, key, response.status)
-    if verdict == Verdict.MAY_HAVE_RUN.value:
-        return NoAnswer(reason, key, response.status)
-    return CallerAnswer(
-        response.status, response.headers, response.content, address, tries
-    )
+def _judge(read, address, tries, key):
+    reason = read.body.decode("latin-1")
+    match get_header(read.headers, VERDICT):
+        case None:
+            return CallerAnswer(read.status, read.headers, read.body, address, tries)
+        case b"not_run":
+            return RequestNotRun(reason, key, read.status)
+        case b"ran":
+            return AnswerLost(reason, key, read.status)
+    return NoAnswer(reason, key, read.status)
+
+
+async def _iter_body(body):
+    yield body
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -16,8 +16,8 @@
     CallerGone,
     Dispatcher,
     LinkPacer,
+    Links,
     Operations,
-    PeerLinks,
     PeerRunner,
     Router,
     TargetRunner,
@@ -80,7 +80,7 @@
         )
         self.dispatcher = Dispatcher(TargetPool(random.Random(here.nonce)), self.log)
         self._upstreams = Upstreams()
-        self._peer_links = PeerLinks()
+        self._peer_links = Links()
         self.router = self._make_router(here)
         self._monitor = Monitor(
             settings,
--- a/turmericrudder/forwarding/__init__.py
+++ b/turmericrudder/forwarding/__init__.py
@@ -4,10 +4,10 @@
 from .connection import Connection
 from .dispatcher import Dispatcher
 from .exchange import Answered, NoAnswer, NotSent
+from .links import Links
 from .operations import Operations
 from .outcome import Collector
 from .pacer import LinkPacer
-from .peer_links import PeerLinks
 from .peer_runner import PeerRunner
 from .request import Request
 from .responder import Responder
@@ -24,11 +24,11 @@
     "Connection",
     "Dispatcher",
     "LinkPacer",
+    "Links",
     "NoAnswer",
     "NotSent",
     "Operations",
     "Passed",
-    "PeerLinks",
     "PeerRunner",
     "Ran",
     "Request",
--- a/turmericrudder/forwarding/connection.py
+++ b/turmericrudder/forwarding/connection.py
@@ -26,10 +26,15 @@
     late or crossed answer can reach another caller.
     """
 
-    __slots__ = ("_address", "_connection")
+    __slots__ = ("_address", "_connection", "_local_address")
 
-    def __init__(self, address):
+    def __init__(self, address, local_address=None):
+        """Prepare without connecting.
+
+        :param local_address: IP number to send from.
+        """
         self._address = address
+        self._local_address = local_address
         self._connection = self._open()
 
     async def aclose(self):
@@ -78,7 +83,7 @@
         return Answered(response)
 
     def _open(self):
-        return _Tracked(self._address)
+        return _Tracked(self._address, self._local_address)
 
     def _build(self, method, path, headers, content, idle):
         url = httpcore.URL(
@@ -108,9 +113,11 @@
 
     __slots__ = ("has_been_used", "has_connected", "inner")
 
-    def __init__(self, address):
+    def __init__(self, address, local_address):
         origin = httpcore.Origin(b"http", address.host.encode(), address.port)
-        self.inner = httpcore.AsyncHTTPConnection(origin, keepalive_expiry=KEEPALIVE)
+        self.inner = httpcore.AsyncHTTPConnection(
+            origin, keepalive_expiry=KEEPALIVE, local_address=local_address
+        )
         self.has_been_used = False
         self.has_connected = False
 
--- a/turmericrudder/forwarding/peer_links.py
+++ b/turmericrudder/forwarding/links.py
@@ -1,4 +1,4 @@
-"""Connections to other instances, kept while idle."""
+"""Connections to any number of addresses, kept while idle."""
 
 from collections import deque
 
@@ -6,18 +6,23 @@
 from .connection import Connection
 from .exchange import Answered
 
-__all__ = ["PeerLinks"]
+__all__ = ["Links"]
 
 MAX_IDLE_PER_PEER = 16
 
 
-class PeerLinks:
+class Links:
     """Idle connections by address; each carries one request at a time."""
 
-    __slots__ = ("_idle",)
+    __slots__ = ("_idle", "_local_address")
 
-    def __init__(self):
+    def __init__(self, local_address=None):
+        """Prepare without connecting.
+
+        :param local_address: IP number to send from.
+        """
         self._idle = {}
+        self._local_address = local_address
 
     async def aclose(self):
         """Close all idle connections."""
@@ -26,7 +31,7 @@
                 await links.pop().aclose()
 
     async def exchange(self, address, method, path, headers, content, limits):
-        """Send a request to a peer.
+        """Send a request.
 
         :param limits: (first_byte, idle) in seconds.
         :returns: (exchange result, connection to give to :meth:`release`).
@@ -52,4 +57,4 @@
             if link.is_usable():
                 return link
             await link.aclose()
-        return Connection(Address.parse(address))
+        return Connection(Address.parse(address), self._local_address)
