Never call a key not run without knowing it

An instance that cannot serve (leaving, or restarted and without configuration) refused keyed requests with its ordinary verdict, which is of the request at hand and not of the key; a home restarted under its old address did so on behalf of its predecessor. Ruled out: the witness protocol (no run twice, the model holds).

Change: only the parts that know how a key ended may call it not run (KeyRefused); any other refusal of a keyed request is may_have_run. A silent connection closes the other idle ones to its target.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 from .demo import run_demo
 from .experiments import EXPERIMENTS
 from .generator import Plan, generate
+from .lookup_load import LookupPlan, generate_lookups
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
 
@@ -59,4 +60,12 @@
     sys.stdout.buffer.write(msgspec.json.encode(samples))
 
 
+@app.command(hidden=True, name="generate-lookups")
+def generate_lookup_load() -> None:
+    """Run the look-up plan on standard input and print its times."""
+    plan = msgspec.json.decode(sys.stdin.buffer.read(), type=LookupPlan)
+    times = anyio.run(generate_lookups, plan, backend_options=_UVLOOP)
+    sys.stdout.buffer.write(msgspec.json.encode(times))
+
+
 app()
--- a/bench/experiments/common.py
+++ b/bench/experiments/common.py
@@ -6,12 +6,13 @@
 
 from turmericrudder.configuration import compile_source, read_source
 
+from ..baseline import Balancer
 from ..cluster import Cluster
 from ..generator import Plan, run_generators
 from ..scenario import SCENARIOS
 from ..variant import make_variant
 
-__all__ = ["offer", "start", "get_targets"]
+__all__ = ["get_targets", "make_balancer", "offer", "start"]
 
 SETTLE = 4.0  # seconds until all slots are in use
 
@@ -34,6 +35,11 @@
     }
 
 
+def make_balancer(cluster, policy, service, region, seed):
+    """Return a baseline balancer over a region's targets of a service."""
+    return Balancer(policy, get_targets(cluster, service, region).values(), seed)
+
+
 async def offer(cluster, rates, seconds, seed, kind="read", policy="", **options):
     """Offer open load from each region in a process of its own.
 
--- a/bench/experiments/drain.py
+++ b/bench/experiments/drain.py
@@ -1,6 +1,57 @@
-"""Not written yet."""
+"""Planned stops of every instance in turn, under load of all kinds."""
+
+import anyio
+
+from ..cluster import Cluster
+from ..load import Load
+from ..measure import Measure
+from ..sample import count_ends
+from ..scenario import SCENARIOS
+from .common import start
+
+LONGEST_WORK = 3.6  # seconds of a pull at the stand-ins
+STOP_MARGIN = 3.0  # seconds
+UPLOAD_BYTES = 2_000_000
+PULL_BYTES = 500_000
+BETWEEN = 2.0  # seconds
 
 
 async def run(seed):
     """Return the measures."""
-    return []
+    scenario = SCENARIOS["clearsight"]
+    async with start() as cluster:
+        entries = [str(entry.listen_callers) for entry in cluster.entries.values()]
+        load = Load(scenario, entries, seed)
+        async with anyio.create_task_group() as tasks:
+            for region in scenario.clients:
+                for _ in range(4):
+                    tasks.start_soon(load.loop, load.read_once, region)
+                tasks.start_soon(load.loop, load.book_once, region)
+                tasks.start_soon(load.loop, load.upload_once, region, UPLOAD_BYTES)
+                tasks.start_soon(load.loop, load.pull_once, region, PULL_BYTES)
+            stops = [await _restart(cluster, name) for name in cluster.entries]
+            load.stop()
+        await load.aclose()
+    ends = count_ends(load.samples)
+    refused = sum(ends.get(end, 0) for end in ("not_run", "may_have_run", "lost"))
+    return [
+        Measure("drain.requests", len(load.samples), "requests"),
+        Measure("drain.cut", ends.get("cut", 0), "requests", 0),
+        Measure("drain.wrong", ends.get("wrong", 0), "requests", 0),
+        Measure("drain.not_answered", refused, "requests", 0),
+        Measure("drain.bad_exits", sum(code != 0 for code, _ in stops), "exits", 0),
+        Measure(
+            "drain.longest_stop",
+            max(seconds for _, seconds in stops),
+            "s",
+            LONGEST_WORK + STOP_MARGIN,
+        ),
+    ]
+
+
+async def _restart(cluster: Cluster, name):
+    stopped = await cluster.stop(name)
+    cluster.start_entry(name)
+    await cluster.wait_serving(name)
+    await anyio.sleep(BETWEEN)
+    return stopped
--- a/bench/experiments/head_of_line.py
+++ b/bench/experiments/head_of_line.py
@@ -9,7 +9,7 @@
 from ..sample import get_quantile_ms
 from ..scenario import SCENARIOS
 from ..spans import get_most, get_spans
-from .common import offer, start
+from .common import make_balancer, offer, start
 
 SERVICE = "binvault"
 SECONDS = 10.0
@@ -57,6 +57,11 @@
     scenario = SCENARIOS["clearsight"]
     entries = [str(entry.listen_callers) for entry in cluster.entries.values()]
     load = Load(scenario, entries, seed)
+    if policy:
+        load.callers = {
+            region: [make_balancer(cluster, policy, SERVICE, region, seed)]
+            for region in scenario.clients
+        }
     async with anyio.create_task_group() as tasks:
         for region in scenario.clients:
             for _ in range(PULLERS):
--- a/turmericrudder/configuration/compiler.py
+++ b/turmericrudder/configuration/compiler.py
@@ -163,7 +163,7 @@
             cap_floor=section.get_float("cap_floor", 0.2, 0.0, 1.0),
             cap_ramp=section.get_duration("cap_ramp", "30s"),
             queue=section.get_int("queue", 4, 0, 10_000),
-            queue_wait=section.get_duration("queue_wait", "40ms"),
+            queue_wait=section.get_duration("queue_wait", "25ms"),
             shed_status=template.get_int("shed_status", 429, 400, 599),
             drain_status=template.get_int("drain_status", 0, 0, 599),
             load_path=template.get_text("load_path", ""),
--- a/turmericrudder/daemon/application.py
+++ b/turmericrudder/daemon/application.py
@@ -8,6 +8,7 @@
 
 from ..errors import (
     ConfigurationMissing,
+    KeyRefused,
     LookupInvalid,
     RequestRefused,
     UpstreamCut,
@@ -27,7 +28,7 @@
 from ..routing import Work
 from ..verdict import Verdict
 
-__all__ = ["CallerApplication"]
+__all__ = ["CallerApplication", "get_verdict"]
 
 RETRY_AFTER = 1  # seconds
 MS_PER_SECOND = 1000
@@ -59,7 +60,8 @@
         except CallerGone:
             self._instance.log.write(catalogue.ROUTE_CANCELLED, path=path)
         except RequestRefused as exc:
-            await self._refuse(responder, exc, path)
+            verdict = get_verdict(exc, scope["headers"])
+            await self._refuse(responder, exc, verdict, path)
         except UpstreamCut as exc:
             await self._cut(responder, exc, path)
         except Exception as exc:
@@ -129,21 +131,21 @@
         home_region = instance.planner.get_home_region(scope["client"][0])
         return make_request(scope, receive, service, path, home_region)
 
-    async def _refuse(self, responder, exc, path):
+    async def _refuse(self, responder, exc, verdict, path):
         instance = self._instance
         instance.log.write(
             catalogue.ROUTE_REFUSED,
             path=path,
             status=exc.status,
             reason=exc.reason,
-            verdict=exc.verdict.value,
+            verdict=verdict.value,
         )
-        instance.metrics.count("refusals", verdict=exc.verdict.value)
+        instance.metrics.count("refusals", verdict=verdict.value)
         if not responder.started:
             await responder.refuse(
                 exc.status,
                 exc.reason,
-                exc.verdict,
+                verdict,
                 exc.retry_after,
                 instance.operations.prefix,
             )
@@ -160,6 +162,18 @@
             await responder.refuse(500, "internal", Verdict.MAY_HAVE_RUN)
 
 
+def get_verdict(refused, headers):
+    """Return the verdict to tell with a refusal.
+
+    An instance that is only unable to serve knows nothing of a key that may
+    have run elsewhere, so it must not call it not run.
+    """
+    is_unable = refused.status >= 500 and not isinstance(refused, KeyRefused)
+    if is_unable and get_header(headers, KEY) and refused.verdict is Verdict.NOT_RUN:
+        return Verdict.MAY_HAVE_RUN
+    return refused.verdict
+
+
 def split_service(scope):
     """Return (service, path and query behind it as bytes) of a request."""
     name, _, rest = scope["raw_path"].lstrip(b"/").partition(b"/")
--- a/turmericrudder/daemon/peer_application.py
+++ b/turmericrudder/daemon/peer_application.py
@@ -15,9 +15,10 @@
     WAIT,
     get_header,
 )
+from ..forwarding.peer_runner import ROLE_HOME
 from ..operation import KeyInvalid, OperationKey
 from ..verdict import Verdict
-from .application import make_request, raise_unless_passed, split_service
+from .application import get_verdict, make_request, raise_unless_passed, split_service
 
 __all__ = ["PeerApplication"]
 
@@ -44,9 +45,8 @@
             self._instance.log.write(catalogue.ROUTE_CANCELLED, path=scope["path"])
         except RequestRefused as exc:
             if not responder.started:
-                await responder.refuse(
-                    exc.status, exc.reason, exc.verdict, exc.retry_after
-                )
+                verdict = _get_verdict(exc, headers)
+                await responder.refuse(exc.status, exc.reason, verdict, exc.retry_after)
         except UpstreamCut as exc:
             self._instance.log.write(
                 catalogue.ROUTE_CUT, path=scope["path"], reason=exc
@@ -110,7 +110,7 @@
         wait = _get_wait(headers)
         request = make_request(scope, receive, service, path, home_region, wait)
         await request.body.prefetch(instance.settings.limits.replay_bytes)
-        if get_header(headers, ROLE) == b"home":
+        if get_header(headers, ROLE) == ROLE_HOME:
             await self._run_home(request, responder)
         else:
             await self._run_owned(request, responder, wait > 0)
@@ -133,6 +133,13 @@
         await instance.run_watched(request, route())
 
 
+def _get_verdict(refused, headers):
+    """Return the verdict; an owner's is of this try, a home's of the key."""
+    if get_header(headers, ROLE) == ROLE_HOME:
+        return get_verdict(refused, headers)
+    return refused.verdict
+
+
 def _get_wait(headers):
     """Return the seconds for which a peer lets its request queue."""
     value = get_header(headers, WAIT) or b"0"
--- a/turmericrudder/errors.py
+++ b/turmericrudder/errors.py
@@ -6,6 +6,7 @@
     "AddressInvalid",
     "ConfigurationInvalid",
     "ConfigurationMissing",
+    "KeyRefused",
     "LookupInvalid",
     "PeerUnreachable",
     "RequestRefused",
@@ -102,5 +103,9 @@
         super().__init__(f"{status} {reason} ({verdict.value})")
 
 
+class KeyRefused(RequestRefused):
+    """A refusal by an instance that knows how the operation key ended."""
+
+
 class UpstreamCut(SteeringError):
     """An upstream's answer broke off after its head was passed on."""
--- a/turmericrudder/forwarding/operations.py
+++ b/turmericrudder/forwarding/operations.py
@@ -13,7 +13,7 @@
     KeyVoid,
     Outcome,
 )
-from ..errors import PeerUnreachable, RequestRefused
+from ..errors import KeyRefused, PeerUnreachable
 from ..events import catalogue
 from ..membership import Status
 from ..operation import (
@@ -124,15 +124,15 @@
     async def handle(self, request, responder, key_text):
         """Run a caller's request under its key, here or at the key's home.
 
-        :raises RequestRefused: with the verdict, if no answer can be given.
+        :raises KeyRefused: with the verdict, if no answer can be given.
         """
         if not key_text and not self.prefix:
-            raise RequestRefused(503, "no_epoch", retry_after=RETRY_AFTER)
+            raise KeyRefused(503, "no_epoch", retry_after=RETRY_AFTER)
         text = key_text or f"{self.prefix}.{uuid.uuid4().hex}"
         try:
             key = OperationKey.parse(text)
         except KeyInvalid:
-            raise RequestRefused(428, "key_invalid") from None
+            raise KeyRefused(428, "key_invalid") from None
         responder.extra.append((b"idempotency-key", str(key).encode()))
         if self._is_home(key):
             await self.run_home(request, responder, key)
@@ -142,7 +142,7 @@
     async def run_home(self, request, responder, key):
         """Run a key of this incarnation, or tell how it ended."""
         if not self._is_home(key):
-            raise RequestRefused(503, "not_home", Verdict.MAY_HAVE_RUN)
+            raise KeyRefused(503, "not_home", Verdict.MAY_HAVE_RUN)
         epoch = str(key.prefix)
         match self._home.start(epoch, key.part):
             case Started():
@@ -161,7 +161,7 @@
             if not await self._mark(key, epoch):
                 self._mark_failed = True
                 self._void(key, epoch)
-                raise RequestRefused(503, "witness", retry_after=RETRY_AFTER)
+                raise KeyRefused(503, "witness", retry_after=RETRY_AFTER)
             await self._run_marked(request, responder, key, epoch)
         finally:
             waiter.set()
@@ -189,7 +189,7 @@
             case Ran():
                 await responder.replay(ANSWER_LOST)
             case Turned(reason):
-                raise RequestRefused(503, reason, retry_after=RETRY_AFTER)
+                raise KeyRefused(503, reason, retry_after=RETRY_AFTER)
             case Unknown(reason):
                 self._refuse_unknown(key, reason)
 
@@ -215,7 +215,7 @@
                 await responder.replay(ANSWER_LOST)
                 return
             if isinstance(ended, Turned) and ended.reason == "peer":
-                raise RequestRefused(503, "home_refused", retry_after=RETRY_AFTER)
+                raise KeyRefused(503, "home_refused", retry_after=RETRY_AFTER)
         await self._ask_witness(responder, key)
 
     async def _forward_home(self, member, request, responder, key):
@@ -249,13 +249,13 @@
     async def _replay(self, outcome, responder, key):
         if not outcome.ran:
             self._log.write(catalogue.OPERATION_VOIDED, key=key)
-            raise RequestRefused(503, "key_void", retry_after=RETRY_AFTER)
+            raise KeyRefused(503, "key_void", retry_after=RETRY_AFTER)
         self._log.write(catalogue.OPERATION_REPLAYED, key=key, status=outcome.status)
         await responder.replay(outcome)
 
     def _refuse_unknown(self, key, reason):
         self._log.write(catalogue.OPERATION_UNKNOWN, key=key, reason=reason)
-        raise RequestRefused(504, reason, Verdict.MAY_HAVE_RUN)
+        raise KeyRefused(504, reason, Verdict.MAY_HAVE_RUN)
 
     async def _mark(self, key, epoch):
         if not key.prefix.witness:
--- a/turmericrudder/forwarding/target_attempt.py
+++ b/turmericrudder/forwarding/target_attempt.py
@@ -71,6 +71,8 @@
         self.latency = anyio.current_time() - self.began
         await self._classify(exchanged, prefetch_bytes)
         if isinstance(self.ended, Unknown) and self.answered is None:
+            # Whatever silenced this connection may have silenced the others.
+            await self._upstreams.forget(self.target.name)
             await self._resolve()
 
     def finish(self):
