--- a/turmericrudder/daemon/application.py
+++ b/turmericrudder/daemon/application.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from urllib.parse import parse_qs, unquote
+from urllib.parse import parse_qsl, unquote
 
 import anyio
 
@@ -50,12 +50,12 @@
         began = time.perf_counter()
         path = scope["path"]
         try:
-            with self._instance.count_open():
-                if path == "/lookup":
-                    await self._look_up(scope, responder)
-                elif path == "/health":
-                    await self._tell_health(responder)
-                else:
+            if path == "/lookup":
+                await self._look_up(scope, responder)
+            elif path == "/health":
+                await self._tell_health(responder)
+            else:
+                with self._instance.count_open():
                     await self._take(scope, receive, responder)
         except CallerGone:
             self._instance.log.write(catalogue.ROUTE_CANCELLED, path=path)
@@ -78,9 +78,9 @@
         )
 
     async def _look_up(self, scope, responder):
-        query = parse_qs(scope["query_string"].decode("latin-1"))
-        service = query.get("service", [""])[0]
-        client = query.get("client", [scope["client"][0]])[0]
+        query = _parse_query(scope["query_string"])
+        service = query.get("service", "")
+        client = query.get("client") or scope["client"][0]
         instance = self._instance
         try:
             answer = instance.planner.get_answer(service, client)
@@ -228,6 +228,14 @@
             raise RequestRefused(504, reason, Verdict.MAY_HAVE_RUN)
 
 
+def _parse_query(query):
+    """Return the parameters of a look-up as a dict."""
+    text = query.decode("latin-1")
+    if "%" in text or "+" in text:
+        return dict(parse_qsl(text))
+    return dict(part.split("=", 1) for part in text.split("&") if "=" in part)
+
+
 def _get_patience(headers, item):
     value = get_header(headers, DEADLINE)
     if value is None:
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -48,7 +48,8 @@
 NS_PER_MS = 1_000_000
 RESTART_PAUSE = 1.0  # seconds
 EXTRA_SHARE = 0.05  # retries and hedges for each request
-EXTRA_BURST = 5
+EXTRA_BURST = 10
+EXTRA_RESERVE = 5
 PART_TIMEOUT = 3.0  # seconds
 STOP_STEP = 0.05  # seconds
 LEFT_PAUSE = 0.2  # seconds for the last messages to leave
@@ -190,7 +191,7 @@
         self.log.write(catalogue.INSTANCE_STOPPED)
 
     def _make_router(self, here):
-        budget = Budget(EXTRA_SHARE, EXTRA_BURST)
+        budget = Budget(EXTRA_SHARE, EXTRA_BURST, EXTRA_RESERVE)
         settings, log = self.settings, self.log
         return Router(
             here,
--- a/turmericrudder/forwarding/router.py
+++ b/turmericrudder/forwarding/router.py
@@ -100,7 +100,7 @@
             if isinstance(ended, Passed | Ran) or _is_final(ended, request):
                 return ended
             if isinstance(took, Unknown) or took.worked:
-                if retries == MAX_RETRIES or not self._budget.spend():
+                if retries == MAX_RETRIES or not self._budget.spend_retry():
                     return ended
                 retries += 1
                 self._log_retry(request, took)
--- a/turmericrudder/forwarding/target_runner.py
+++ b/turmericrudder/forwarding/target_runner.py
@@ -89,7 +89,7 @@
         answer = await self._dispatcher.claim(request.work, False)
         if not isinstance(answer, Grant):
             return False
-        if answer.state is first.grant.state or not self._budget.spend():
+        if answer.state is first.grant.state or not self._budget.spend_hedge():
             await TargetAttempt(
                 answer, request, self._dispatcher, self._upstreams
             ).aclose()
--- a/turmericrudder/lookup/planner.py
+++ b/turmericrudder/lookup/planner.py
@@ -1,6 +1,6 @@
 """Look-up answers from the configuration and view in force."""
 
-import ipaddress
+import socket
 
 import msgspec
 
@@ -79,14 +79,13 @@
         return self._configuration.domains.get(place, place)
 
     def _locate(self, client):
-        try:
-            ip = ipaddress.ip_address(client)
-        except ValueError:
-            raise LookupInvalid(f"{client!r} is no IP number") from None
+        number = _parse_ipv4(client)
         place = None
-        if ip.version == 4:
-            place = self._configuration.blocks.get_place_of(int(ip))
-        slice_ = (int(ip) >> BLOCK_SHIFT) % ORDERS_PER_PLACE
+        if number is None:
+            number = _parse_ipv6(client)
+        else:
+            place = self._configuration.blocks.get_place_of(number)
+        slice_ = (number >> BLOCK_SHIFT) % ORDERS_PER_PLACE
         return place or self._here.region, slice_
 
     def _make_answer(self, service, place, slice_):
@@ -114,3 +113,19 @@
             revision=configuration.revision,
             key_prefix=prefix,
         )
+
+
+def _parse_ipv4(text):
+    """Return an IPv4 address as an int, ``None`` if it is none."""
+    # Several times as fast as the ipaddress module, and as strict.
+    try:
+        return int.from_bytes(socket.inet_pton(socket.AF_INET, text), "big")
+    except (OSError, ValueError):
+        return None
+
+
+def _parse_ipv6(text):
+    try:
+        return int.from_bytes(socket.inet_pton(socket.AF_INET6, text), "big")
+    except (OSError, ValueError):
+        raise LookupInvalid(f"{text!r} is no IP number") from None
--- a/turmericrudder/routing/budget.py
+++ b/turmericrudder/routing/budget.py
@@ -6,23 +6,36 @@
 class Budget:
     """Each request earns ``share`` of an extra one, up to ``burst`` saved.
 
-    Nothing is saved at the start, so that the share holds over any time.
+    A part of what is saved is reserved for retries, without which a request
+    fails; hedges, which only make one faster, must leave it alone.
     """
 
-    __slots__ = ("_burst", "_saved", "_share")
+    __slots__ = ("_burst", "_reserve", "_saved", "_share")
 
-    def __init__(self, share, burst):
+    def __init__(self, share, burst, reserve=0):
+        """Save the reserve from the start.
+
+        :param reserve: extra requests that hedges must leave for retries.
+        """
         self._share = share
         self._burst = burst
-        self._saved = 0.0
+        self._reserve = reserve
+        self._saved = float(reserve)
 
     def earn(self):
         """Count one ordinary request."""
         self._saved = min(self._burst, self._saved + self._share)
 
-    def spend(self):
-        """Return whether one extra request may be sent, and count it."""
-        if self._saved < 1.0:
+    def spend_retry(self):
+        """Return whether a request may be sent again, and count it."""
+        return self._spend(0)
+
+    def spend_hedge(self):
+        """Return whether a second target may be asked, and count it."""
+        return self._spend(self._reserve)
+
+    def _spend(self, reserve):
+        if self._saved < 1.0 + reserve:
             return False
         self._saved -= 1.0
         return True
