Stop false alarms from feeding themselves; split the large files

Cause: with 80 and 120 instances started at once on eight cores, instances short of processor time called each other failed, each alarm cost all of them a new derivation of owners and caps, and that kept them short of time: 17.5% of a core and 25 KB/s each, for as long as it was watched. At 40 instances it did not happen (2.2%, 3.1 KB/s).

Change: the time by which a watcher's own tick is late does not count as silence; an instance called failed while alive gets twice the time, forgiven after a minute; changes are gathered for 50 ms; caps are divided once for each configuration and owners only when their basis changes. Operations are split into home, epochs and witness link; the entry instance into ownership, handover and part fetching; settings files share one reader.

--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,5 +1,7 @@
 """Silence of instances: when it is believed, and when it is not."""
 
+import pytest
+
 from turmericrudder.membership import (
     Member,
     Status,
@@ -59,6 +61,29 @@
     assert run_until_failed(watch, ["a"], 60.0 + TIMING.heartbeat) is not None
 
 
+def test_late_ticks_do_not_count_as_silence():
+    watch = Watch(TIMING)
+    watch.set_watched(["a"], 0.0)
+    watch.tick(0.0)
+    now = 0.0
+    for _ in range(4):
+        now += 1.5
+        assert watch.tick(now).failed == ()
+
+
+def test_false_alarms_make_patient_and_are_forgiven():
+    watch = Watch(TIMING)
+    times = []
+    for start in (0.0, 10.0, 100.0):
+        watch.set_watched([], start)
+        watch.set_watched(["a"], start)
+        watch.tick(start)
+        times.append(run_until_failed(watch, ["a"], start))
+        watch.note_false_alarm("a", start)
+    assert times[1] > 1.5 * times[0]
+    assert times[2] == pytest.approx(times[0])
+
+
 def make_fleet(domains, size):
     return [
         Member(f"{d}-{n}", 1, "n", 0, Status.LIVE, f"r{d % 5}", f"d{d}", "", "", "")
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -10,7 +10,6 @@
 
 from ..configuration import Repository
 from ..control import Channel, Handover, Heartbeat, TargetsLeaving
-from ..errors import PeerUnreachable
 from ..events import EventLog, catalogue, set_up_logging
 from ..forwarding import (
     CallerGone,
@@ -25,18 +24,19 @@
 )
 from ..forwarding.dispatcher import Handover as HandoverWord
 from ..forwarding.dispatcher import SetOwned
-from ..forwarding.exchange import Answered
-from ..forwarding.headers import PEER_KEY
 from ..forwarding.interrupt import Interrupted, run_until
 from ..lookup import LookupPlanner
 from ..membership import Member, Status
 from ..metrics import Metrics
-from ..routing import Budget, Ownership, TargetPool
+from ..routing import Budget, TargetPool
 from ..store import StoreClient
 from .application import CallerApplication
 from .configurator import Configurator
+from .handover import HandoverSender
 from .membership import Membership
 from .monitor import Monitor
+from .ownership import OwnershipKeeper
+from .parts import PartFetcher
 from .peer_application import PeerApplication
 from .server import Server
 from .status import build_status
@@ -46,6 +46,7 @@
 
 NONCE_BYTES = 4
 NS_PER_MS = 1_000_000
+GATHER = 0.05  # seconds in which changes are gathered
 RESTART_PAUSE = 1.0  # seconds
 EXTRA_SHARE = 0.05  # retries and hedges for each request
 EXTRA_BURST = 6
@@ -71,17 +72,17 @@
             here, settings, self._channel, self.log, self._describe
         )
         self.planner = LookupPlanner(here, settings.timing.lookup_ttl, self.log)
+        self._peer_links = Links()
         self._store = StoreClient(settings.store)
         repository = Repository(self._store, settings.workspace)
         self.configurator = Configurator(
-            settings, repository, self._fetch_part, self.log
+            settings, repository, PartFetcher(settings, self._peer_links), self.log
         )
         self._reader = StoreReader(
             settings, repository, self.configurator, self.membership, self.log
         )
         self.dispatcher = Dispatcher(TargetPool(random.Random(here.nonce)), self.log)
         self._upstreams = Upstreams()
-        self._peer_links = Links()
         self.router = self._make_router(here)
         self._monitor = Monitor(
             settings,
@@ -92,7 +93,10 @@
             self._store,
         )
         self.operations = None
-        self.ownership = None
+        self._ownership = OwnershipKeeper(settings.name)
+        self._handover = HandoverSender(
+            settings, self.dispatcher, self._ownership, self.membership, self._channel
+        )
         self._open = 0
         self._closed = False
         self._callers = Server(CallerApplication(self), settings.listen_callers)
@@ -101,7 +105,7 @@
         self.membership.on_change = self._note_change
         self.membership.on_revision = self._offer_revision
         self.configurator.on_change = self._take_configuration
-        self.dispatcher.on_release = self._tell_handover
+        self.dispatcher.on_release = self._handover.tell
 
     def is_serving(self):
         """Return whether callers may be sent here."""
@@ -162,7 +166,6 @@
                 tasks,
                 self.log,
             )
-            self.operations.on_epoch = self._note_change
             await tasks.start(self._channel.run)
             await tasks.start(self._peers.run)
             await tasks.start(self._callers.run)
@@ -172,9 +175,9 @@
                 self.membership.run,
                 self._monitor.run,
                 self._reader.run,
-                self.operations.run_epochs,
+                self._run_epochs,
                 self._run_changes,
-                self._run_handover,
+                self._handover.run,
             ):
                 tasks.start_soon(self._supervise, task)
             self.log.write(
@@ -270,20 +273,6 @@
     def _offer_revision(self, member, revision, manifest):
         self.configurator.offer(revision, manifest, member.peers)
 
-    async def _fetch_part(self, address, kind, name):
-        headers = [(PEER_KEY, self.settings.peer_key.encode())]
-        path = f"/part/{kind}/{name}".encode()
-        limits = (PART_TIMEOUT, PART_TIMEOUT)
-        answered, link = await self._peer_links.exchange(
-            address, "GET", path, headers, None, limits
-        )
-        if not isinstance(answered, Answered) or answered.status != 200:
-            raise PeerUnreachable(f"{address} has no {kind} {name}")
-        data = b"".join([chunk async for chunk in answered.iter_chunks()])
-        await answered.aclose()
-        await self._peer_links.release(address, link)
-        return data
-
     def _take_configuration(self):
         self.pacer.update(self.configurator.configuration)
         if self.membership.here.status is Status.STARTING:
@@ -299,67 +288,26 @@
         while True:
             await self._changed.wait()
             self._changed = anyio.Event()
+            await anyio.sleep(GATHER)
             if self.configurator.configuration is not None:
                 self._derive()
 
     def _derive(self):
         configuration = self.configurator.configuration
         view = self.membership.view
-        live = view.get_live()
         heard = self.membership.get_heartbeats()
         prefixes = {name: heartbeat.prefix for name, heartbeat in heard.items()}
         prefixes[self.settings.name] = self.operations.prefix
-        self.planner.update(configuration, live, prefixes)
-        before = self.ownership
-        self.ownership = Ownership(
-            configuration, live, _get_silent(view, configuration)
+        self.planner.update(configuration, view.get_live(), prefixes)
+        changed = self._ownership.update(configuration, view)
+        members = {member.name: member for member in view.get_reachable()}
+        self.router.update(self._ownership.current, members, heard)
+        self.dispatcher.tell(
+            SetOwned(configuration, changed.owned, changed.predecessors)
         )
-        self.router.update(
-            self.ownership,
-            {member.name: member for member in view.get_reachable()},
-            heard,
-        )
-        predecessors = self._get_predecessors(before)
-        owned = self.ownership.get_owned(self.settings.name)
-        self.dispatcher.tell(SetOwned(configuration, owned, predecessors))
 
-    def _get_predecessors(self, before):
-        """Return the targets whose previous owner is still reachable."""
-        view = self.membership.view
-        reachable = {member.name for member in view.get_reachable()}
-        reachable.discard(self.settings.name)
-        if before is None:
-            others = [m for m in view.get_live() if m.name != self.settings.name]
-            before = Ownership(self.configurator.configuration, others)
-        predecessors = set()
-        for target in self.configurator.configuration.targets:
-            owner = before.get(target)
-            if owner is not None and owner.name in reachable:
-                predecessors.add(target)
-        return frozenset(predecessors)
-
-    def _tell_handover(self, target_name):
-        """Tell the new owners of released targets what still runs here."""
-        if self.dispatcher.pool.get_state(target_name) is None:
-            self._send_handover([target_name])
-
-    def _send_handover(self, names):
-        released = self.dispatcher.pool.get_released(anyio.current_time())
-        words = {}
-        for name in names:
-            owner = self.ownership.get(name) if self.ownership else None
-            if owner is not None and owner.name != self.settings.name:
-                words.setdefault(owner.name, {})[name] = released.get(name, 0)
-        for name, in_flight in words.items():
-            member = self.membership.view.get(name)
-            if member is not None:
-                self._channel.send(member.control, Handover(in_flight))
-
-    async def _run_handover(self):
-        while True:
-            await anyio.sleep(self.settings.timing.heartbeat)
-            now = anyio.current_time()
-            self._send_handover(self.dispatcher.pool.get_released(now))
+    async def _run_epochs(self):
+        await self.operations.run_epochs(self._note_change)
 
 
 async def run_entry(settings):
@@ -368,16 +316,6 @@
     await EntryInstance(settings).run()
 
 
-def _get_silent(view, configuration):
-    """Return the domains whose instances may run unseen from here."""
-    planned = {}
-    for member in view:
-        is_planned = member.status in (Status.LEAVING, Status.LEFT)
-        domain = member.failure_domain
-        planned[domain] = planned.get(domain, True) and is_planned
-    return {domain for domain in configuration.domains if not planned.get(domain)}
-
-
 def _make_member(settings):
     return Member(
         name=settings.name,
--- a/turmericrudder/daemon/membership.py
+++ b/turmericrudder/daemon/membership.py
@@ -252,6 +252,8 @@
         before = self.view.get(member.name)
         if not self.view.merge(member):
             return False
+        if _is_refutation(before, member):
+            self._watch.note_false_alarm(member.name, self._clock())
         if before is None or before.status != member.status:
             self._log.write(
                 _STATUS_EVENTS[member.status],
@@ -286,3 +288,13 @@
     def _tell_revision(self, member, revision, manifest):
         if self.on_revision is not None and revision:
             self.on_revision(member, revision, manifest)
+
+
+def _is_refutation(before, member):
+    """Return whether an incarnation called failed turned out to be alive."""
+    return (
+        before is not None
+        and before.status is Status.FAILED
+        and member.status < Status.FAILED
+        and before.incarnation == member.incarnation
+    )
--- /dev/null
+++ b/turmericrudder/daemon/parts.py
@@ -0,0 +1,41 @@
+"""Fetch manifests and chunks of the configuration from other instances."""
+
+from ..errors import PeerUnreachable, UpstreamCut
+from ..forwarding import Answered
+from ..forwarding.headers import PEER_KEY
+
+__all__ = ["PartFetcher"]
+
+TIMEOUT = 3.0  # seconds
+
+
+class PartFetcher:
+    """Asks the peers' address of an instance for a part by its hash."""
+
+    __slots__ = ("_headers", "_links")
+
+    def __init__(self, settings, links):
+        self._headers = [(PEER_KEY, settings.peer_key.encode())]
+        self._links = links
+
+    async def __call__(self, address, kind, name):
+        """Return the bytes of a ``manifest`` or ``chunk``.
+
+        :raises PeerUnreachable: if the peer does not give it.
+        """
+        path = f"/part/{kind}/{name}".encode()
+        answered, link = await self._links.exchange(
+            address, "GET", path, self._headers, None, (TIMEOUT, TIMEOUT)
+        )
+        if not isinstance(answered, Answered):
+            raise PeerUnreachable(f"{address}: {answered.reason}")
+        try:
+            data = b"".join([chunk async for chunk in answered.iter_chunks()])
+        except UpstreamCut as exc:
+            raise PeerUnreachable(f"{address}: {exc}") from None
+        finally:
+            await answered.aclose()
+        await self._links.release(address, link)
+        if answered.status != 200:
+            raise PeerUnreachable(f"{address} has no {kind} {name}")
+        return data
--- a/turmericrudder/forwarding/operations.py
+++ b/turmericrudder/forwarding/operations.py
@@ -4,41 +4,30 @@
 
 import anyio
 
-from ..control import (
-    Answer,
-    EpochOpen,
-    KeyAnswer,
-    KeyMark,
-    KeyOutcome,
-    KeyVoid,
-    Outcome,
-)
-from ..errors import KeyRefused, PeerUnreachable
+from ..control import Outcome
+from ..errors import KeyRefused
 from ..events import catalogue
 from ..membership import Status
 from ..operation import (
     Finished,
     HomeTable,
     KeyInvalid,
-    KeyPrefix,
     OperationKey,
     Running,
     Started,
     Undecided,
-    WitnessTable,
 )
-from ..rendezvous import rank_names
 from ..verdict import Verdict
+from .epochs import Epochs
 from .interrupt import Interrupted, run_until
 from .outcome import Collector
 from .step import Passed, Ran, Turned, Unknown
+from .witness_link import WitnessLink
 
 __all__ = ["Operations"]
 
 NOT_RUN = Outcome(ran=False)
 ANSWER_LOST = Outcome(ran=True, whole=False)
-OUTCOME_ATTEMPTS = 6
-MIN_EPOCH = 1.0  # seconds
 RETRY_AFTER = 1  # seconds
 
 
@@ -46,22 +35,16 @@
     """The part of an instance as home, as witness and as the one asked."""
 
     __slots__ = (
-        "_channel",
-        "_epoch",
+        "_epochs",
         "_here",
         "_home",
         "_limits",
         "_log",
-        "_mark_failed",
-        "_prefix",
+        "_patience",
         "_router",
-        "_tasks",
-        "_telling",
-        "_timing",
         "_view",
         "_waiters",
-        "_witness",
-        "on_epoch",
+        "_witnesses",
     )
 
     def __init__(self, here, settings, view, channel, router, tasks, log):
@@ -71,55 +54,36 @@
         """
         self._here = here
         self._limits = settings.limits
-        self._timing = settings.timing
+        self._patience = settings.timing.heartbeat
         self._view = view
-        self._channel = channel
         self._router = router
-        self._tasks = tasks
         self._log = log
-        self._home = HomeTable(settings.limits)
-        self._witness = WitnessTable(here.nonce, settings.limits)
         self._waiters = {}
-        self._epoch = 0
-        self._mark_failed = False
-        self._telling = 0
-        self._prefix = None
-        self.on_epoch = None
+        self._home = HomeTable(settings.limits)
+        self._witnesses = WitnessLink(here, settings, view, channel, tasks)
+        self._epochs = Epochs(here, settings, view, self._home, self._witnesses, log)
 
     @property
     def prefix(self):
         """The prefix of keys issued now, as text; empty if there is none."""
-        return "" if self._prefix is None else str(self._prefix)
+        return self._epochs.prefix
 
     def get_entry_counts(self):
         """Return (keys kept as home, keys kept as witness)."""
-        return self._home.get_entry_count(), self._witness.get_entry_count()
+        return self._home.get_entry_count(), self._witnesses.get_entry_count()
 
     def is_telling(self):
-        """Return whether the witness still has to be told of an outcome."""
-        return self._telling > 0
+        """Return whether a witness still has to be told of an outcome."""
+        return self._witnesses.is_telling()
 
     def answer_peer(self, message):
         """Return the witness's answer, ``None`` to another kind of message."""
-        match message:
-            case EpochOpen(epoch):
-                return self._witness.open(epoch)
-            case KeyMark(epoch, key):
-                return self._witness.mark(epoch, key)
-            case KeyOutcome(epoch, key, outcome):
-                return self._witness.record(epoch, key, outcome)
-            case KeyVoid(epoch, key):
-                return self._witness.void(epoch, key)
-        return None
+        return self._witnesses.answer_peer(message)
 
-    async def run_epochs(self):
-        """Open a new epoch every few minutes and when the witness is lost."""
-        opened_at = None
-        while True:
-            now = anyio.current_time()
-            if opened_at is None or self._is_epoch_due(now - opened_at):
-                opened_at = await self._open_epoch()
-            await anyio.sleep(self._timing.heartbeat)
+    async def run_epochs(self, on_change):
+        """Keep a prefix to issue until cancelled; tell of each new one."""
+        self._epochs.on_change = on_change
+        await self._epochs.run()
 
     async def handle(self, request, responder, key_text):
         """Run a caller's request under its key, here or at the key's home.
@@ -158,8 +122,8 @@
     async def _run_started(self, request, responder, key, epoch):
         waiter = self._waiters[str(key)] = anyio.Event()
         try:
-            if not await self._mark(key, epoch):
-                self._mark_failed = True
+            if not await self._witnesses.mark(key):
+                self._epochs.note_failed_mark()
                 self._void(key, epoch)
                 raise KeyRefused(503, "witness", retry_after=RETRY_AFTER)
             await self._run_marked(request, responder, key, epoch)
@@ -177,10 +141,10 @@
                 case Passed():
                     outcome = collector.get_outcome()
                     outcome = self._home.finish(epoch, key.part, outcome)
-                    self._tell_outcome(key, epoch, outcome)
+                    self._witnesses.tell(key, outcome)
                 case Ran():
                     self._home.finish(epoch, key.part, ANSWER_LOST)
-                    self._tell_outcome(key, epoch, ANSWER_LOST)
+                    self._witnesses.tell(key, ANSWER_LOST)
                 case Turned():
                     self._void(key, epoch)
                 case Unknown():
@@ -223,7 +187,7 @@
 
         async def wait_failed():
             while self._get_home(key) is not None or responder.started:
-                await anyio.sleep(self._timing.heartbeat)
+                await anyio.sleep(self._patience)
 
         work = self._router.forward_home(member, request, responder)
         try:
@@ -239,12 +203,10 @@
         return None if member.status in (Status.FAILED, Status.LEFT) else member
 
     async def _ask_witness(self, responder, key):
-        answer = await self._call_witness(key, KeyVoid(str(key.prefix), key.part))
-        match answer:
-            case KeyAnswer(Answer.OUTCOME, outcome):
-                await self._replay(outcome, responder, key)
-            case _:
-                self._refuse_unknown(key, "home_unreachable")
+        outcome = await self._witnesses.ask(key)
+        if outcome is None:
+            self._refuse_unknown(key, "home_unreachable")
+        await self._replay(outcome, responder, key)
 
     async def _replay(self, outcome, responder, key):
         if not outcome.ran:
@@ -257,104 +219,10 @@
         self._log.write(catalogue.OPERATION_UNKNOWN, key=key, reason=reason)
         raise KeyRefused(504, reason, Verdict.MAY_HAVE_RUN)
 
-    async def _mark(self, key, epoch):
-        if not key.prefix.witness:
-            return True
-        answer = await self._call_witness(key, KeyMark(epoch, key.part))
-        return answer is not None and answer.answer is Answer.DONE
-
     def _void(self, key, epoch):
         self._home.void(epoch, key.part)
-        self._tell_outcome(key, epoch, NOT_RUN)
-
-    def _tell_outcome(self, key, epoch, outcome):
-        if key.prefix.witness:
-            message = KeyOutcome(epoch, key.part, outcome)
-            self._telling += 1
-            self._tasks.start_soon(self._repeat_outcome, key, message)
-
-    async def _repeat_outcome(self, key, message):
-        try:
-            for _ in range(OUTCOME_ATTEMPTS):
-                if await self._call_witness(key, message) is not None:
-                    return
-        finally:
-            self._telling -= 1
-
-    async def _call_witness(self, key, message):
-        """Return the answer of a key's witness, ``None`` if there is none."""
-        prefix = key.prefix
-        if prefix.witness == self._here.name:
-            if prefix.witness_nonce != self._here.nonce:
-                return None
-            return self.answer_peer(message)
-        member = self._view.get(prefix.witness)
-        if member is None or member.nonce != prefix.witness_nonce:
-            return None
-        try:
-            return await self._channel.call(
-                member.control, message, self._timing.mark_timeout
-            )
-        except PeerUnreachable:
-            return None
+        self._witnesses.tell(key, NOT_RUN)
 
     def _is_home(self, key):
         prefix = key.prefix
         return (prefix.home, prefix.home_nonce) == (self._here.name, self._here.nonce)
-
-    def _rank_witnesses(self):
-        """Return the candidates, those of other domains of the region first."""
-        others = [m for m in self._view.get_live() if m.name != self._here.name]
-        names = rank_names(f"witness {self._here.name}", [m.name for m in others])
-        ranked = [self._view.get(name) for name in names]
-        ranked.sort(key=self._get_witness_distance)
-        return ranked
-
-    def _get_witness_distance(self, member):
-        if member.region != self._here.region:
-            return 2
-        return int(member.failure_domain == self._here.failure_domain)
-
-    def _is_epoch_due(self, age):
-        if age >= self._timing.epoch or self._home.is_spent(self.prefix):
-            return True
-        if self._mark_failed and age >= MIN_EPOCH:
-            return True
-        return not self._is_witness_usable()
-
-    def _is_witness_usable(self):
-        ranked = self._rank_witnesses()
-        if not self._prefix.witness:
-            return not ranked
-        live = {member.name: member.nonce for member in ranked}
-        return live.get(self._prefix.witness) == self._prefix.witness_nonce
-
-    async def _open_epoch(self):
-        for member in self._rank_witnesses()[:3]:
-            prefix = self._get_next_prefix(member.name, member.nonce)
-            try:
-                answer = await self._channel.call(
-                    member.control, EpochOpen(str(prefix)), self._timing.mark_timeout
-                )
-            except PeerUnreachable:
-                continue
-            if answer.answer is Answer.DONE:
-                self._use(prefix)
-                return anyio.current_time()
-        self._log.write(catalogue.EPOCH_FAILED)
-        self._use(self._get_next_prefix("", ""))
-        return anyio.current_time()
-
-    def _get_next_prefix(self, witness, nonce):
-        self._epoch += 1
-        return KeyPrefix(self._here.name, self._here.nonce, self._epoch, witness, nonce)
-
-    def _use(self, prefix):
-        self._home.open(str(prefix))
-        self._mark_failed = False
-        self._prefix = prefix
-        self._log.write(
-            catalogue.EPOCH_OPENED, epoch=prefix.epoch, witness=prefix.witness
-        )
-        if self.on_epoch is not None:
-            self.on_epoch()
--- a/turmericrudder/ini.py
+++ b/turmericrudder/ini.py
@@ -2,11 +2,12 @@
 
 import configparser
 import re
+from pathlib import Path
 
 from .address import Address
 from .errors import AddressInvalid
 
-__all__ = ["Section", "read_ini"]
+__all__ = ["Section", "read_ini", "read_ini_file"]
 
 _DURATION_RE = re.compile(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h)?")
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, None: 1.0}
@@ -15,6 +16,27 @@
 _BOOLEANS = {"yes": True, "true": True, "no": False, "false": False}
 
 
+def read_ini_file(path, allowed, required, error):
+    """Return the sections of an INI file; see :func:`read_ini`.
+
+    :param allowed: names of sections that may be there.
+    :param required: names of sections that must be there.
+    """
+    file = str(path)
+    try:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise error(file, "-", "-", str(exc)) from None
+    sections = read_ini(text, file, error)
+    for name in sections:
+        if name not in allowed:
+            raise error(file, name, "-", "unknown section")
+    for name in required:
+        if name not in sections:
+            raise error(file, name, "-", "missing section")
+    return sections
+
+
 def read_ini(text, file, error):
     """Return the sections of an INI text in the order of the file.
 
--- a/turmericrudder/membership/watch.py
+++ b/turmericrudder/membership/watch.py
@@ -4,7 +4,9 @@
 
 __all__ = ["Silence", "Watch"]
 
-PAUSE_FACTOR = 2.0
+LATE_SLACK = 0.1  # seconds by which a tick may be late and count as on time
+MAX_PATIENCE = 8  # times the usual silence
+FORGIVE_AFTER = 60.0  # seconds without a false alarm
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,17 +24,27 @@
 class Watch:
     """When each watched instance was last heard, here or by another watcher.
 
-    A pause of this process itself looks like silence of everybody; after one,
-    all times start anew.
+    A pause of this process itself looks like silence of everybody, so the time
+    by which a tick comes late does not count. An instance that was called
+    failed and was alive gets twice the time, so that instances short of
+    processor time do not keep each other busy with false alarms.
     """
 
-    __slots__ = ("_asked", "_heard", "_last_tick", "_timing", "_vouched")
+    __slots__ = (
+        "_asked",
+        "_false_alarms",
+        "_heard",
+        "_last_tick",
+        "_timing",
+        "_vouched",
+    )
 
     def __init__(self, timing):
         self._timing = timing
         self._heard = {}
         self._vouched = {}
         self._asked = set()
+        self._false_alarms = {}
         self._last_tick = None
 
     def set_watched(self, names, now):
@@ -52,6 +64,11 @@
         if name in self._heard:
             self._vouched[name] = now
 
+    def note_false_alarm(self, name, now):
+        """Note that an instance was called failed and is alive."""
+        count, _ = self._false_alarms.get(name, (0, now))
+        self._false_alarms[name] = (count + 1, now)
+
     def is_heard(self, name, now):
         """Return whether heartbeats of the name arrive here."""
         heard = self._heard.get(name)
@@ -59,22 +76,36 @@
 
     def tick(self, now):
         """Return who has become silent by ``now`` (seconds, monotonic)."""
-        self._reset_after_pause(now)
+        self._skip_lateness(now)
+        self._forgive(now)
         suspected, failed = [], []
         for name, heard in self._heard.items():
             if now - heard >= self._timing.suspect_after and name not in self._asked:
                 self._asked.add(name)
                 suspected.append(name)
-            if now - max(heard, self._vouched.get(name, heard)) >= (
-                self._timing.dead_after
-            ):
+            silence = now - max(heard, self._vouched.get(name, heard))
+            if silence >= self._timing.dead_after * self._get_patience(name):
                 failed.append(name)
         for name in failed:
             self._asked.discard(name)
         return Silence(tuple(suspected), tuple(failed))
 
-    def _reset_after_pause(self, now):
+    def _skip_lateness(self, now):
+        """Move all times by what this tick is late."""
         last, self._last_tick = self._last_tick, now
-        if last is not None and now - last > PAUSE_FACTOR * self._timing.heartbeat:
-            self._heard = dict.fromkeys(self._heard, now)
-            self._asked.clear()
+        late = 0.0 if last is None else now - last - self._timing.heartbeat
+        if late > LATE_SLACK:
+            self._heard = {n: min(now, t + late) for n, t in self._heard.items()}
+            self._vouched = {n: min(now, t + late) for n, t in self._vouched.items()}
+
+    def _get_patience(self, name):
+        count, _ = self._false_alarms.get(name, (0, 0.0))
+        return min(MAX_PATIENCE, 2**count)
+
+    def _forgive(self, now):
+        if self._false_alarms:
+            self._false_alarms = {
+                name: (count, since)
+                for name, (count, since) in self._false_alarms.items()
+                if now - since < FORGIVE_AFTER
+            }
--- a/turmericrudder/routing/pool.py
+++ b/turmericrudder/routing/pool.py
@@ -44,6 +44,7 @@
     """Grants slots of owned targets; exact counts, no I/O."""
 
     __slots__ = (
+        "_caps",
         "_configuration",
         "_limits",
         "_queues",
@@ -60,6 +61,7 @@
         self._released = {}
         self._ramps = {}
         self._limits = {}
+        self._caps = {}
         self._queues = {}
 
     def get_states(self, service=None):
@@ -103,15 +105,15 @@
             self._configuration = configuration
             self._limits.clear()
             self._ramps.clear()
-        caps = {}
-        for service in configuration.services.values():
-            caps |= self._allot(service, 1.0)
+            self._caps = {}
+            for service in configuration.services.values():
+                self._caps |= self._allot(service, 1.0)
         released = [name for name in self._states if name not in owned]
         for name in released:
             self._released[name] = self._states.pop(name)
         taken = [name for name in owned if name not in self._states]
         for name in owned:
-            self._update_state(name, caps[name], name in predecessors, now)
+            self._update_state(name, self._caps[name], name in predecessors, now)
             self._set_adopted(self._states[name], owned[name])
         self._forget_idle(now)
         return taken, released
--- a/turmericrudder/settings/entry.py
+++ b/turmericrudder/settings/entry.py
@@ -1,11 +1,10 @@
 """The settings file of an entry instance."""
 
 from dataclasses import dataclass
-from pathlib import Path
 
 from ..address import Address
 from ..errors import SettingsInvalid
-from ..ini import Section, read_ini
+from ..ini import Section, read_ini_file
 from .limits import LimitSettings
 from .peers import read_addresses, read_peer_key
 from .timing import TimingSettings
@@ -49,30 +48,15 @@
 
     :raises SettingsInvalid: naming file, section, key and reason.
     """
-    file = str(path)
-    try:
-        text = Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsInvalid(file, "-", "-", str(exc)) from None
-    sections = read_ini(text, file, SettingsInvalid)
-    _check_names(file, sections)
+    sections = read_ini_file(path, _SECTIONS, _REQUIRED, SettingsInvalid)
     for name in _SECTIONS:
-        sections.setdefault(name, Section(file, name, {}, SettingsInvalid))
+        sections.setdefault(name, Section(str(path), name, {}, SettingsInvalid))
     settings = _read_sections(sections)
     for section in sections.values():
         section.check_empty()
     return settings
 
 
-def _check_names(file, sections):
-    for name in sections:
-        if name not in _SECTIONS:
-            raise SettingsInvalid(file, name, "-", "unknown section")
-    for name in _REQUIRED:
-        if name not in sections:
-            raise SettingsInvalid(file, name, "-", "missing section")
-
-
 def _read_sections(sections):
     instance = sections["instance"]
     listen = sections["listen"]
--- a/turmericrudder/settings/operator.py
+++ b/turmericrudder/settings/operator.py
@@ -1,15 +1,16 @@
 """The settings file of the command line."""
 
 from dataclasses import dataclass
-from pathlib import Path
 
 from ..address import Address
 from ..errors import SettingsInvalid
-from ..ini import read_ini
+from ..ini import read_ini_file
 from .peers import read_addresses, read_peer_key
 
 __all__ = ["OperatorSettings", "read_operator_settings"]
 
+_SECTIONS = ("operator",)
+
 
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
@@ -33,17 +34,7 @@
 
     :raises SettingsInvalid: naming file, section, key and reason.
     """
-    file = str(path)
-    try:
-        text = Path(path).read_text()
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsInvalid(file, "-", "-", str(exc)) from None
-    sections = read_ini(text, file, SettingsInvalid)
-    for name in sections:
-        if name != "operator":
-            raise SettingsInvalid(file, name, "-", "unknown section")
-    if "operator" not in sections:
-        raise SettingsInvalid(file, "operator", "-", "missing section")
+    sections = read_ini_file(path, _SECTIONS, _SECTIONS, SettingsInvalid)
     section = sections["operator"]
     settings = OperatorSettings(
         workspace=section.get_text("workspace"),
