Take work that grows with the fleet out of the heartbeat

Change: lists, digest and duties are kept until the view changes; a witness is checked by its own record; a change that leaves the blocks alone keeps their table.

Measured before: 1.77, 1.95, 2.09% of a core at 20, 40, 80 instances; change in force after 4.5, 6.5, 12.5 s.

--- a/turmericrudder/configuration/chunks.py
+++ b/turmericrudder/configuration/chunks.py
@@ -40,6 +40,8 @@
 def join_chunks(chunks):
     """Return the source that :func:`split_chunks` took apart.
 
+    The document alone gives a source without blocks.
+
     :raises msgspec.DecodeError: if a chunk is damaged.
     """
     document = msgspec.msgpack.decode(chunks[0], type=Document)
--- a/turmericrudder/configuration/compiler.py
+++ b/turmericrudder/configuration/compiler.py
@@ -22,12 +22,13 @@
 _BITS_PER_BYTE = 8
 
 
-def compile_source(source, revision=0):
+def compile_source(source, revision=0, blocks=None):
     """Return the configuration that a source describes.
 
+    :param blocks: table of the same blocks, if it was built before.
     :raises ConfigurationInvalid: naming file, section, key and reason.
     """
-    return _Compiler(source).compile(revision)
+    return _Compiler(source).compile(revision, blocks)
 
 
 class _Compiler:
@@ -45,7 +46,7 @@
         self._entries = {}
         self._targets = {}
 
-    def compile(self, revision):
+    def compile(self, revision, blocks):
         name, link = self._read_workspace()
         self._read_domains()
         templates = self._read_templates()
@@ -60,7 +61,7 @@
             entries=self._entries,
             services=services,
             targets=self._targets,
-            blocks=self._build_blocks(),
+            blocks=blocks or self._build_blocks(),
             drained=frozenset(self._source.drained),
             link_bytes_per_second=link,
         )
--- a/turmericrudder/daemon/configurator.py
+++ b/turmericrudder/daemon/configurator.py
@@ -40,6 +40,7 @@
     """
 
     __slots__ = (
+        "_block_chunks",
         "_fetch_from_peer",
         "_log",
         "_offers",
@@ -64,6 +65,7 @@
         self._fetch_from_peer = fetch_from_peer
         self._log = log
         self._parts = {}
+        self._block_chunks = None
         self._offers = anyio.create_memory_object_stream(MAX_QUEUED_OFFERS)
 
     @property
@@ -105,8 +107,12 @@
         chunks = [
             await self._fetch(offer, "chunk", name, parts) for name in manifest.chunks
         ]
+        table = None
+        if manifest.chunks[1:] == self._block_chunks:
+            # Most changes leave the blocks alone, and they cost the most.
+            chunks, table = chunks[:1], self.configuration.blocks
         configuration = await anyio.to_thread.run_sync(
-            _compile, chunks, manifest.revision
+            _compile, chunks, manifest.revision, table
         )
         if configuration.workspace != self._workspace:
             raise ConfigurationInvalid(
@@ -115,6 +121,7 @@
         if manifest.revision <= self.revision:
             return
         self._parts = parts
+        self._block_chunks = manifest.chunks[1:]
         self.configuration = configuration
         self.manifest = offer.manifest
         self._log.write(
@@ -137,5 +144,5 @@
         return data
 
 
-def _compile(chunks, revision):
-    return compile_source(join_chunks(chunks), revision)
+def _compile(chunks, revision, table):
+    return compile_source(join_chunks(chunks), revision, table)
--- a/turmericrudder/daemon/membership.py
+++ b/turmericrudder/daemon/membership.py
@@ -38,6 +38,7 @@
         "_channel",
         "_clock",
         "_describe",
+        "_duties",
         "_gone_since",
         "_heard",
         "_log",
@@ -74,6 +75,7 @@
         self._seeds = {str(seed) for seed in settings.seeds}
         self._watch = Watch(settings.timing)
         self._watchers = []
+        self._duties = (-1, {})
         self._heard = {}
         self._gone_since = {}
         self._next_reconcile = 0.0
@@ -89,12 +91,18 @@
 
         :param count: how many instances do it; one more does no harm.
         """
-        names = [
-            member.name
-            for member in self.view.get_reachable()
-            if member.failure_domain == self.here.failure_domain
-        ]
-        return self.here.name in rank_names(duty, names)[:count]
+        version, duties = self._duties
+        if version != self.view.version:
+            duties = {}
+            self._duties = (self.view.version, duties)
+        if duty not in duties:
+            names = [
+                member.name
+                for member in self.view.get_reachable()
+                if member.failure_domain == self.here.failure_domain
+            ]
+            duties[duty] = self.here.name in rank_names(duty, names)[:count]
+        return duties[duty]
 
     def add_seed(self, address):
         """Remember a control address at which an instance may listen."""
--- a/turmericrudder/forwarding/epochs.py
+++ b/turmericrudder/forwarding/epochs.py
@@ -3,6 +3,7 @@
 import anyio
 
 from ..events import catalogue
+from ..membership import Status
 from ..operation import KeyPrefix
 from ..rendezvous import rank_names
 
@@ -76,11 +77,11 @@
         return not self._is_witness_usable()
 
     def _is_witness_usable(self):
-        ranked = self._rank_witnesses()
         if not self._prefix.witness:
-            return not ranked
-        live = {member.name: member.nonce for member in ranked}
-        return live.get(self._prefix.witness) == self._prefix.witness_nonce
+            return len(self._view.get_live()) <= 1
+        member = self._view.get(self._prefix.witness)
+        is_same = member is not None and member.nonce == self._prefix.witness_nonce
+        return is_same and member.status is Status.LIVE
 
     async def _open(self):
         for member in self._rank_witnesses()[:WITNESSES_TRIED]:
--- a/turmericrudder/membership/view.py
+++ b/turmericrudder/membership/view.py
@@ -15,10 +15,11 @@
     Two views that saw the same records are equal, in whatever order they came.
     """
 
-    __slots__ = ("_members", "version")
+    __slots__ = ("_cache", "_members", "version")
 
     def __init__(self, members=()):
         self._members = {}
+        self._cache = {}
         self.version = 0
         for member in members:
             self.merge(member)
@@ -39,13 +40,13 @@
         if known is not None and known.rank >= member.rank:
             return False
         self._members[member.name] = member
-        self.version += 1
+        self._note_change()
         return True
 
     def forget(self, name):
         """Drop the record of an instance that is gone."""
         if self._members.pop(name, None) is not None:
-            self.version += 1
+            self._note_change()
 
     def get_live(self):
         """Return the records with status ``LIVE``, by name."""
@@ -61,11 +62,23 @@
 
     def get_digest(self):
         """Return a short hash that is equal for equal views."""
+        if "digest" not in self._cache:
+            self._cache["digest"] = self._hash()
+        return self._cache["digest"]
+
+    def _note_change(self):
+        self.version += 1
+        self._cache.clear()
+
+    def _hash(self):
         digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
         for name in sorted(self._members):
             digest.update(repr((name, *self._members[name].rank)).encode())
         return digest.digest()
 
     def _get_with(self, *statuses):
-        found = [m for m in self._members.values() if m.status in statuses]
-        return sorted(found, key=lambda member: member.name)
+        if statuses not in self._cache:
+            found = [m for m in self._members.values() if m.status in statuses]
+            found.sort(key=lambda member: member.name)
+            self._cache[statuses] = tuple(found)
+        return self._cache[statuses]
