--- a/turmericrudder/forwarding/target_runner.py
+++ b/turmericrudder/forwarding/target_runner.py
@@ -4,7 +4,8 @@
 
 from ..errors import UpstreamCut
 from ..events import catalogue
-from ..routing import Grant, HedgeDelay, Refusal
+from ..routing import Grant, HedgeDelay, Refusal, Unused
+from .dispatcher import GiveBack
 from .step import Passed, Turned, combine_ends
 from .target_attempt import TargetAttempt
 
@@ -90,10 +91,8 @@
         answer = await self._dispatcher.claim(request.work, False)
         if not isinstance(answer, Grant):
             return False
-        if answer.state is first.grant.state or not self._budget.spend_hedge():
-            await TargetAttempt(
-                answer, request, self._dispatcher, self._upstreams
-            ).aclose()
+        if not _is_faster(answer, first) or not self._budget.spend_hedge():
+            self._dispatcher.tell(GiveBack(answer, Unused()))
             return False
         self._log.write(
             catalogue.ROUTE_HEDGED,
@@ -141,6 +140,17 @@
         return self._delays.setdefault(key, HedgeDelay())
 
 
+def _is_faster(grant, first):
+    """Return whether a second target would answer sooner than one has waited.
+
+    When all targets are slow, a second attempt is only more work.
+    """
+    now = anyio.current_time()
+    if grant.state is first.grant.state:
+        return False
+    return grant.state.get_latency(now) < now - first.began
+
+
 def _note_losers(attempts, winner):
     """Note how slow the attempts were that a later one overtook.
 
--- a/turmericrudder/routing/__init__.py
+++ b/turmericrudder/routing/__init__.py
@@ -10,7 +10,7 @@
 from .peers import PeerLoad, rank_peers
 from .pool import Grant, Refusal, TargetPool, Waiting
 from .ramp import Ramp
-from .result import Cancelled, Failed, Finished, Shed
+from .result import Cancelled, Failed, Finished, Shed, Unused
 from .takeover import Takeover
 from .target_state import TargetState
 from .work import Work
@@ -33,6 +33,7 @@
     "TargetPool",
     "TargetState",
     "TokenBucket",
+    "Unused",
     "Waiting",
     "Work",
     "allot_cap",
--- a/turmericrudder/routing/result.py
+++ b/turmericrudder/routing/result.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Cancelled", "Failed", "Finished", "Shed"]
+__all__ = ["Cancelled", "Failed", "Finished", "Shed", "Unused"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,3 +27,8 @@
 @dataclass(frozen=True, slots=True)
 class Cancelled:
     """The caller went away, or another attempt was faster."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unused:
+    """Nothing was sent."""
