Stop at once, without a traceback, on a second signal

Cause: the exit was raised inside the task group, which wrapped it, so that a second SIGTERM printed a traceback.

Change: the signal cancels the tasks and the exit code is returned.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -220,3 +220,14 @@
 async def get_started(cluster, name):
     journal = (await cluster.get_journals())[name]
     return sum(journal["paths"].values())
+
+
+@pytest.mark.anyio
+async def test_second_stop_signal_stops_at_once(cluster):
+    name = "piedmont-a-1"
+    cluster.send_signal(name, signal.SIGTERM)
+    await anyio.sleep(0.3)
+    code, seconds = await cluster.stop(name)
+    assert code == 1
+    assert seconds < DRAIN_LIMIT
+    assert "Traceback" not in (cluster.logs / f"{name}.log").read_text()
--- a/turmericrudder/daemon/__main__.py
+++ b/turmericrudder/daemon/__main__.py
@@ -8,4 +8,4 @@
 from .entry import run_entry
 
 settings = read_entry_settings(sys.argv[1])
-anyio.run(run_entry, settings, backend_options={"use_uvloop": True})
+sys.exit(anyio.run(run_entry, settings, backend_options={"use_uvloop": True}))
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -99,6 +99,7 @@
         )
         self._open = 0
         self._closed = False
+        self._aborted = False
         self._callers = Server(CallerApplication(self), settings.listen_callers)
         self._peers = Server(PeerApplication(self), settings.listen_peers)
         self._changed = anyio.Event()
@@ -155,7 +156,10 @@
         }
 
     async def run(self):
-        """Serve until a stop signal, then leave without cutting anything."""
+        """Serve until a stop signal, then leave without cutting anything.
+
+        :returns: exit code, 1 if a second signal stopped it at once.
+        """
         async with anyio.create_task_group() as tasks:
             self.operations = Operations(
                 self.membership.here,
@@ -188,10 +192,13 @@
             )
             await self._wait_stop(tasks)
             tasks.cancel_scope.cancel()
+        if self._aborted:
+            return 1
         await self._upstreams.aclose()
         await self._peer_links.aclose()
         await self._store.aclose()
         self.log.write(catalogue.INSTANCE_STOPPED)
+        return 0
 
     def _make_router(self, here):
         budget = Budget(EXTRA_SHARE, EXTRA_BURST, EXTRA_RESERVE)
@@ -224,7 +231,8 @@
             async for _ in signals:
                 if stopping:
                     self.log.write(catalogue.INSTANCE_ABORTED)
-                    raise SystemExit(1)
+                    self._aborted = True
+                    tasks.cancel_scope.cancel()
                 stopping = True
                 tasks.start_soon(self._leave, tasks.cancel_scope)
 
@@ -311,9 +319,9 @@
 
 
 async def run_entry(settings):
-    """Run an entry instance until it is told to stop."""
+    """Run an entry instance until it is told to stop; return the exit code."""
     set_up_logging(settings)
-    await EntryInstance(settings).run()
+    return await EntryInstance(settings).run()
 
 
 def _make_member(settings):
