Write once what stood twice

Cause: reading the whole change again. The processor seconds of a process and the mixed load of the demonstration stood in two places, the outcome of a key that did not run in two modules, and the monitor held a configurator it never used.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,6 +11,7 @@
 
 from .cluster import Cluster
 from .measure import Measure
+from .process import get_cpu
 
 __all__ = ["run_capacity"]
 
@@ -26,7 +27,6 @@
 MEMORY_BOUND = 64.0  # MB
 BYTES_BOUND = 12.0  # KB a second
 FORCE_BOUND = 10.0  # seconds
-TICKS_PER_SECOND = 100
 KB = 1000
 KEY = "capacity-run-key-0"
 TEMPLATES = """[template plain]
@@ -88,13 +88,13 @@
 async def measure_rest(cluster):
     """Return the mean cost of the instances over some seconds."""
     pids = [cluster.get_pid(name) for name in cluster.entries]
-    before = [_get_cpu(pid) for pid in pids]
+    before = [get_cpu(pid) for pid in pids]
     counters = await _get_counters(cluster)
     began = time.monotonic()
     await anyio.sleep(REST)
     seconds = time.monotonic() - began
     after = await _get_counters(cluster)
-    cpu = [_get_cpu(pid) - first for pid, first in zip(pids, before, strict=True)]
+    cpu = [get_cpu(pid) - first for pid, first in zip(pids, before, strict=True)]
     size = len(pids)
 
     def get_rate(name):
@@ -246,12 +246,6 @@
     return gauges
 
 
-def _get_cpu(pid):
-    """Return the processor seconds a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
 def _get_memory(pid):
     """Return the resident memory of a process in MB."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -107,12 +107,7 @@
 async def _run_load(cluster, scenario, load):
     """Drain a target and stop an instance while all kinds of work run."""
     async with anyio.create_task_group() as tasks:
-        for region in scenario.clients:
-            for _ in range(4):
-                tasks.start_soon(load.loop, load.read_once, region)
-            tasks.start_soon(load.loop, load.book_once, region)
-            tasks.start_soon(load.loop, load.upload_once, region, UPLOAD_BYTES)
-            tasks.start_soon(load.loop, load.pull_once, region, PULL_BYTES)
+        load.start_mixed(tasks, UPLOAD_BYTES, PULL_BYTES)
         await anyio.sleep(2.0)
         lines = [await _drain(cluster, scenario)]
         lines.append(await _stop(cluster, scenario))
--- a/bench/experiments/drain.py
+++ b/bench/experiments/drain.py
@@ -23,12 +23,7 @@
         entries = [str(entry.listen_callers) for entry in cluster.entries.values()]
         load = Load(scenario, entries, seed)
         async with anyio.create_task_group() as tasks:
-            for region in scenario.clients:
-                for _ in range(4):
-                    tasks.start_soon(load.loop, load.read_once, region)
-                tasks.start_soon(load.loop, load.book_once, region)
-                tasks.start_soon(load.loop, load.upload_once, region, UPLOAD_BYTES)
-                tasks.start_soon(load.loop, load.pull_once, region, PULL_BYTES)
+            load.start_mixed(tasks, UPLOAD_BYTES, PULL_BYTES)
             stops = [await _restart(cluster, name) for name in cluster.entries]
             load.stop()
         await load.aclose()
--- a/bench/experiments/speed.py
+++ b/bench/experiments/speed.py
@@ -12,6 +12,7 @@
 from ..cluster import Cluster
 from ..lookup_load import LookupPlan, run_lookups
 from ..measure import Measure
+from ..process import get_cpu
 from ..sample import Sample, get_quantile_ms
 from ..variant import make_variant
 from .common import SETTLE
@@ -25,7 +26,6 @@
 SECONDS = 6.0
 READS = 400
 ENTRY = "gulf-b-1"
-TICKS_PER_SECOND = 100
 MS_PER_SECOND = 1000
 
 
@@ -62,9 +62,9 @@
         )
         for n in range(processes)
     ]
-    before = _get_cpu(cluster.get_pid(ENTRY))
+    before = get_cpu(cluster.get_pid(ENTRY))
     times = await run_lookups(plans)
-    cpu = _get_cpu(cluster.get_pid(ENTRY)) - before
+    cpu = get_cpu(cluster.get_pid(ENTRY)) - before
     samples = [Sample("lookup", "answered", 0.0, seconds) for seconds in times]
     rate = len(times) / SECONDS
     bound = LOOKUPS_TARGET if processes > 1 else None
@@ -130,10 +130,4 @@
 
 
 def _get_cpu_of_all(cluster):
-    return sum(_get_cpu(cluster.get_pid(name)) for name in cluster.entries)
-
-
-def _get_cpu(pid):
-    """Return the processor seconds a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+    return sum(get_cpu(cluster.get_pid(name)) for name in cluster.entries)
--- a/bench/load.py
+++ b/bench/load.py
@@ -13,6 +13,7 @@
 
 TIMEOUT = 30.0  # seconds
 CLIENTS_PER_REGION = 8
+READERS = 4  # loops of short reads in each region
 
 
 class Load:
@@ -96,6 +97,15 @@
             if pause:
                 await anyio.sleep(pause)
 
+    def start_mixed(self, tasks, upload_bytes, pull_bytes):
+        """Start loops of all kinds of work from every region."""
+        for region in self.callers:
+            for _ in range(READERS):
+                tasks.start_soon(self.loop, self.read_once, region)
+            tasks.start_soon(self.loop, self.book_once, region)
+            tasks.start_soon(self.loop, self.upload_once, region, upload_bytes)
+            tasks.start_soon(self.loop, self.pull_once, region, pull_bytes)
+
     async def arrive(self, rate, seconds, once, *arguments):
         """Send requests as they would arrive, whether earlier ones ended or not.
 
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -88,7 +88,6 @@
             settings,
             self.dispatcher,
             self.membership,
-            self.configurator,
             self._channel,
             self._store,
         )
--- a/turmericrudder/daemon/monitor.py
+++ b/turmericrudder/daemon/monitor.py
@@ -26,7 +26,6 @@
 
     __slots__ = (
         "_channel",
-        "_configurator",
         "_dispatcher",
         "_leaving",
         "_listed",
@@ -36,11 +35,10 @@
         "_timing",
     )
 
-    def __init__(self, settings, dispatcher, membership, configurator, channel, store):
+    def __init__(self, settings, dispatcher, membership, channel, store):
         self._timing = settings.timing
         self._dispatcher = dispatcher
         self._membership = membership
-        self._configurator = configurator
         self._channel = channel
         self._store = store
         self._leaving = frozenset()
--- a/turmericrudder/forwarding/operations.py
+++ b/turmericrudder/forwarding/operations.py
@@ -9,6 +9,7 @@
 from ..events import catalogue
 from ..membership import Status
 from ..operation import (
+    NOT_RUN,
     Finished,
     HomeTable,
     KeyInvalid,
@@ -26,7 +27,6 @@
 
 __all__ = ["Operations"]
 
-NOT_RUN = Outcome(ran=False)
 ANSWER_LOST = Outcome(ran=True, whole=False)
 RETRY_AFTER = 1  # seconds
 
--- a/turmericrudder/operation/__init__.py
+++ b/turmericrudder/operation/__init__.py
@@ -1,6 +1,7 @@
 """At most one run per operation key: home and witness, without I/O."""
 
 from .home import (
+    NOT_RUN,
     Finished,
     HomeTable,
     KeyState,
@@ -12,6 +13,7 @@
 from .witness import WitnessTable
 
 __all__ = [
+    "NOT_RUN",
     "Finished",
     "HomeTable",
     "KeyInvalid",
