--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -24,7 +24,7 @@
 )
 from ..forwarding.dispatcher import Handover as HandoverWord
 from ..forwarding.dispatcher import SetOwned
-from ..forwarding.interrupt import Interrupted, run_until
+from ..interrupt import Interrupted, run_until
 from ..lookup import LookupPlanner
 from ..membership import Member, Status
 from ..metrics import Metrics
--- a/turmericrudder/errors.py
+++ b/turmericrudder/errors.py
@@ -6,7 +6,12 @@
     "AddressInvalid",
     "ConfigurationInvalid",
     "ConfigurationMissing",
+    "EntryInvalid",
+    "HistoryLost",
     "KeyRefused",
+    "LeaseEnded",
+    "LinkBroken",
+    "LinkRefused",
     "LookupInvalid",
     "PeerUnreachable",
     "RequestRefused",
@@ -14,6 +19,7 @@
     "SettingsInvalid",
     "SteeringError",
     "StoreError",
+    "StoreOverloaded",
     "StoreUnavailable",
     "UpstreamCut",
     "ValueTooLarge",
@@ -60,6 +66,22 @@
     """No answer came; a write may or may not have taken effect."""
 
 
+class StoreOverloaded(StoreUnavailable):
+    """The call was over the store's rate and did nothing."""
+
+
+class HistoryLost(StoreError):
+    """A watch asked for changes that the store no longer keeps."""
+
+
+class LeaseEnded(StoreError):
+    """A lease was renewed or used after its end."""
+
+
+class EntryInvalid(SteeringError):
+    """A value in the store is not what its key should hold."""
+
+
 class VersionConflict(StoreError):
     """A compare-and-swap met another version than the expected one."""
 
@@ -107,5 +129,13 @@
     """A refusal by an instance that knows how the operation key ended."""
 
 
+class LinkRefused(SteeringError):
+    """A connection to a target did not come about; nothing was sent."""
+
+
+class LinkBroken(SteeringError):
+    """A connection to a target gave no proper answer to what was sent."""
+
+
 class UpstreamCut(SteeringError):
     """An upstream's answer broke off after its head was passed on."""
--- a/turmericrudder/events/log.py
+++ b/turmericrudder/events/log.py
@@ -28,7 +28,7 @@
 
 def set_up_logging(settings):
     """Send the log to standard error in the format of the settings."""
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(sys.stdout)
     formatter = JsonFormatter() if settings.log_format == "json" else PlainFormatter()
     handler.setFormatter(formatter)
     root = logging.getLogger()
--- a/turmericrudder/forwarding/operations.py
+++ b/turmericrudder/forwarding/operations.py
@@ -7,6 +7,7 @@
 from ..control import Outcome
 from ..errors import KeyRefused
 from ..events import catalogue
+from ..interrupt import Interrupted, run_until
 from ..membership import Status
 from ..operation import (
     NOT_RUN,
@@ -20,7 +21,6 @@
 )
 from ..verdict import Verdict
 from .epochs import Epochs
-from .interrupt import Interrupted, run_until
 from .outcome import Collector
 from .step import Passed, Ran, Turned, Unknown
 from .witness_link import WitnessLink
--- /dev/null
+++ b/turmericrudder/gateway/client_request.py
@@ -0,0 +1,78 @@
+"""A client's request as it is sent on."""
+
+from dataclasses import dataclass
+
+from ..platform import names
+from ..steering import Route
+
+__all__ = ["ClientRequest"]
+
+MS_PER_SECOND = 1000
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+# Set here, whatever the client sent.
+_REPLACED = frozenset((b"content-length", names.DEADLINE, names.EXPECTED_INSTANCE))
+
+
+@dataclass(slots=True)
+class ClientRequest:
+    """One request and what is known of it.
+
+    :param target: path and query as the client sent them.
+    :param headers: with names in lower case.
+    :param body: the whole body, or ``None`` if it is streamed from ``stream``.
+    :param length: the body's length in bytes, or ``None`` if it is chunked.
+    :param arrived: monotonic time of the head's arrival.
+    :param expires: monotonic time by which a final answer must be given.
+    :param deadline: monotonic time until which the client waits.
+    """
+
+    method: str
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    attempt_id: bytes
+    object_key: str | None
+    route: Route
+    service: str
+    arrived: float
+    expires: float
+    deadline: float
+    body: bytes | None = b""
+    stream: object = None
+    length: int | None = 0
+
+    def make_head(self, target_id, now):
+        """Return the head of the request to a target as bytes."""
+        dropped = _HOP_BY_HOP | _REPLACED | _get_connection_options(self.headers)
+        lines = [self.method.encode(), b" ", self.target, b" HTTP/1.1\r\n"]
+        for name, value in self.headers:
+            if name not in dropped:
+                lines += (name, b": ", value, b"\r\n")
+        left = max(1, int((min(self.expires, self.deadline) - now) * MS_PER_SECOND))
+        lines.append(b"%s: %d\r\n" % (names.DEADLINE, left))
+        lines.append(b"%s: %s\r\n" % (names.EXPECTED_INSTANCE, target_id.encode()))
+        if self.body is None and self.length is None:
+            lines.append(b"transfer-encoding: chunked\r\n")
+        elif self.length or self.method not in ("GET", "HEAD", "DELETE"):
+            lines.append(b"content-length: %d\r\n" % (self.length or 0))
+        lines.append(b"\r\n")
+        return b"".join(lines)
+
+
+def _get_connection_options(headers):
+    for name, value in headers:
+        if name == b"connection":
+            return {option.strip().lower() for option in value.split(b",")}
+    return frozenset()
--- /dev/null
+++ b/turmericrudder/gateway/forwarder.py
@@ -0,0 +1,262 @@
+"""Send a client's request to targets until it has a final answer."""
+
+import itertools
+
+import anyio
+
+from ..errors import LinkBroken, LinkRefused
+from ..events import catalogue
+from ..platform import names
+from ..steering import Chosen, NoTarget, Query, RetryAllowance, ServerLoad
+from .outcome import Broken, Refused, Streaming, TurnedAway, Whole
+
+__all__ = ["Forwarder", "Refusal"]
+
+WHOLE_BYTES = 256 * 1024  # longest answer that is read before it is passed on
+MAX_CONNECTS = 4  # targets that are dialled in vain for one request
+RETRY_AFTER_MIN = 0.05  # seconds
+MS_PER_SECOND = 1000
+
+
+class Refusal:
+    """A final answer of our own.
+
+    :param has_run: whether the request may have run at a target.
+    :param retry_after: seconds after which to come back, or ``None``.
+    """
+
+    __slots__ = ("reason", "retry_after", "status")
+
+    def __init__(self, status, reason, retry_after=None):
+        self.status = status
+        self.reason = reason
+        self.retry_after = retry_after
+
+
+class Forwarder:
+    """Chooses targets, sends, repeats what may be repeated.
+
+    :param count_members: function that returns the number of live instances.
+    """
+
+    __slots__ = (
+        "_allowances",
+        "_balancer",
+        "_count_members",
+        "_log",
+        "_metrics",
+        "_pool",
+        "_settings",
+        "_tickets",
+    )
+
+    def __init__(self, settings, balancer, pool, count_members, log, metrics):
+        self._settings = settings
+        self._balancer = balancer
+        self._pool = pool
+        self._count_members = count_members
+        self._log = log
+        self._metrics = metrics
+        self._allowances = {}
+        self._tickets = itertools.count(1)
+
+    async def forward(self, request):
+        """Return :class:`Whole`, :class:`Streaming` or :class:`Refusal`."""
+        course = _Course(request)
+        with anyio.move_on_at(request.expires):
+            return await self._send_until_final(course)
+        if course.may_have_run:
+            return Refusal(504, "timeout")
+        return Refusal(503, "timeout", RETRY_AFTER_MIN)
+
+    async def _send_until_final(self, course):
+        request = course.request
+        allowance = self._get_allowance(request.service)
+        while True:
+            now = anyio.current_time()
+            choice = self._choose(course, now)
+            match choice:
+                case NoTarget(obstacle, retry_after):
+                    return course.give_up(obstacle.value, retry_after)
+            if course.sends == 0:
+                allowance.note_request(now)
+            elif not allowance.spend(now, self._count_members()):
+                return course.give_up("retry_budget", choice.expected)
+            outcome = await self._send(course, choice)
+            if not course.may_go_on(outcome):
+                return course.finish(outcome, choice.expected)
+            self._log.write(
+                catalogue.ROUTE_RETRIED,
+                id=request.attempt_id.decode("latin-1"),
+                target=choice.record.endpoint.id,
+                outcome=type(outcome).__name__,
+                reason=getattr(outcome, "reason", None),
+            )
+
+    def _choose(self, course, now):
+        request = course.request
+        query = Query(
+            request.service,
+            request.route,
+            request.object_key,
+            request.expires,
+            frozenset(course.tried),
+        )
+        choice = self._balancer.choose(query, now)
+        if isinstance(choice, Chosen):
+            self._balancer.note_sent(choice, query, now)
+        return choice
+
+    async def _send(self, course, choice):
+        """Send once and return the outcome."""
+        request, record = course.request, choice.record
+        course.tried.add(record.endpoint.id)
+        ticket = next(self._tickets)
+        record.start(ticket, anyio.current_time())
+        link, outcome = None, None
+        try:
+            round_trip = self._balancer.get_round_trip(record)
+            must_be_sound = not request.route.is_idempotent
+            link = await self._pool.take(record, round_trip, must_be_sound)
+            now = anyio.current_time()
+            course.note_sent()
+            outcome = await self._exchange(request, record, link, now, choice)
+        except LinkRefused as exc:
+            record.block(anyio.current_time())
+            self._pool.forget(record.endpoint.id)
+            outcome = Refused(str(exc))
+        except LinkBroken as exc:
+            record.note_failure(anyio.current_time())
+            outcome = Broken(str(exc))
+        finally:
+            record.end(ticket)
+            if link is not None:
+                self._settle(record, link, outcome)
+        return outcome
+
+    async def _exchange(self, request, record, link, began, choice):
+        head = request.make_head(record.endpoint.id, began)
+        body = request.body if request.body is not None else request.stream
+        is_head = request.method == "HEAD"
+        await link.exchange(head, body, request.attempt_id, is_head)
+        headers = dict(link.headers)
+        self._note_load(record, headers)
+        turned_away = _get_turned_away(link.status, headers)
+        if turned_away:
+            await link.read_all(WHOLE_BYTES)
+            now = anyio.current_time()
+            if link.status == 421:
+                record.is_gone = True
+            record.note_turned_away(now)
+            return TurnedAway(turned_away)
+        if b"content-encoding" in headers:
+            raise LinkBroken("encoded answer")
+        if 200 <= link.status < 300 and names.SIGNATURE not in headers:
+            raise LinkBroken("unsigned answer")
+        body = await link.read_all(WHOLE_BYTES)
+        now = anyio.current_time()
+        if body is None:
+            return Streaming(link.status, link.headers, link)
+        self._learn(request, record, link, now - began, choice, now)
+        return Whole(link.status, link.headers, body)
+
+    def _note_load(self, record, headers):
+        text = headers.get(names.LOAD)
+        if text is None:
+            return
+        load = ServerLoad.parse(text.decode("latin-1"))
+        if load is not None:
+            record.note_load(load, anyio.current_time())
+
+    def _learn(self, request, record, link, seconds, choice, now):
+        if link.status >= 500:
+            record.note_failure(now)
+            return
+        wait = max(0.0, choice.expected - choice.work - choice.round_trip)
+        work = max(0.0, seconds - choice.round_trip - wait) / choice.slowdown
+        record.note_answer(work, now)
+        self._balancer.get_estimate(request.route).note(choice.work_key, work)
+
+    def _settle(self, record, link, outcome):
+        match outcome:
+            case Whole() | TurnedAway():
+                self._pool.release(record, link)
+            case Streaming():
+                pass  # whoever reads the rest closes it
+            case _:
+                link.close()
+
+    def _get_allowance(self, service):
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            bounds = self._settings.bounds
+            allowance = self._allowances[service] = RetryAllowance(
+                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window
+            )
+        return allowance
+
+
+class _Course:
+    """What happened to a request so far."""
+
+    __slots__ = ("connects", "may_have_run", "request", "sends", "tried")
+
+    def __init__(self, request):
+        self.request = request
+        self.sends = 0
+        self.connects = 0
+        self.may_have_run = False
+        self.tried = set()
+
+    def note_sent(self):
+        """Note that bytes of the request leave for a target."""
+        self.sends += 1
+        self.may_have_run = True
+
+    def may_go_on(self, outcome):
+        """Return whether another target may get the request."""
+        route = self.request.route
+        match outcome:
+            case Refused():
+                self.connects += 1
+                return self.connects < MAX_CONNECTS
+            case TurnedAway():
+                self.may_have_run = self.may_have_run and self._ran_before()
+            case Whole(status) if status < 500:
+                return False
+            case Streaming():
+                return False
+            case _ if not route.is_idempotent:
+                return False
+        has_body = self.request.body is not None
+        return has_body and self.sends < route.max_attempts
+
+    def finish(self, outcome, expected):
+        """Return the final answer after the last send."""
+        match outcome:
+            case Whole() | Streaming():
+                return outcome
+            case TurnedAway(reason) | Refused(reason):
+                return self.give_up(reason, expected)
+            case Broken(reason):
+                return Refusal(502, reason)
+
+    def give_up(self, reason, retry_after):
+        """Return a refusal that tells the truth about earlier sends."""
+        if self.may_have_run and not self.request.route.is_idempotent:
+            return Refusal(502, reason)
+        retry_after = max(RETRY_AFTER_MIN, retry_after)
+        return Refusal(503, reason, retry_after)
+
+    def _ran_before(self):
+        # Only idempotent requests are sent again after they may have run.
+        return self.request.route.is_idempotent and self.sends > 1
+
+
+def _get_turned_away(status, headers):
+    """Return the reason if the target says that it did not run the request."""
+    if status == 421:
+        return "another target has the address"
+    if names.NOT_EXECUTED in headers:
+        return f"status {status}"
+    return None
--- /dev/null
+++ b/turmericrudder/gateway/instance.py
@@ -0,0 +1,272 @@
+"""Wire an entry instance: beliefs, listeners, tasks, the stop."""
+
+import os
+import random
+import signal
+
+import anyio
+
+from ..events import EventLog, catalogue
+from ..metrics import Metrics
+from ..platform import MetadataStore
+from ..rendezvous import rank_names
+from ..settings import read_gateway_settings
+from ..steering import BackendSplit, Balancer, Catalog, Member, RouteTable
+from .client_application import ClientApplication
+from .forwarder import Forwarder
+from .link_pool import LinkPool
+from .listener import Listener
+from .registration import Registration
+from .registry import Registry
+from .service_applications import (
+    DirectoryApplication,
+    MetricsApplication,
+    ReadinessApplication,
+)
+
+__all__ = ["Gateway", "run_gateway"]
+
+NONCE_BYTES = 8
+TICK = 0.5  # seconds between rounds of housekeeping
+# Parts of the grace time after a stop signal: how long new requests are still
+# taken, and when the instance ends whatever is left.
+TAKE_PART = 0.45
+END_PART = 0.95
+# Seconds without a request after which a stopping instance may end early.
+QUIET = 1.0
+
+
+class Gateway:
+    """One instance: what it believes, and the parts that act on it."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.log = EventLog(instance=settings.name)
+        self.metrics = Metrics()
+        self.route_table = None
+        self.is_stopping = False
+        self.catalog = Catalog()
+        self._stop_began = None
+        self._last_request = 0.0
+        self._members = {}
+        self._splits = {}
+        self._random = random.Random(settings.name)
+        self.member = Member(
+            settings.name,
+            settings.listen_clients,
+            settings.failure_domain,
+            settings.region,
+            os.urandom(NONCE_BYTES).hex(),
+        )
+        self.balancer = Balancer(settings, self.catalog, self.feeds_cold, self._random)
+        self.pool = LinkPool()
+        self.forwarder = Forwarder(
+            settings,
+            self.balancer,
+            self.pool,
+            lambda: len(self.get_members()),
+            self.log,
+            self.metrics,
+        )
+        self.store = MetadataStore(settings.store)
+        self.registry = Registry(self, self.store)
+        self.registration = Registration(settings, self.member, self.store)
+        self.clients = Listener(ClientApplication(self), settings.listen_clients)
+        self._listeners = [
+            self.clients,
+            Listener(ReadinessApplication(self), settings.listen_readiness),
+            Listener(DirectoryApplication(self), settings.listen_directory),
+            Listener(MetricsApplication(self), settings.listen_metrics),
+        ]
+
+    # Questions
+
+    @property
+    def limits(self):
+        """Bounds on clients, or ``None`` until a configuration is known."""
+        table = self.route_table
+        return table.configuration.limits if table is not None else None
+
+    def is_ready(self):
+        """Return whether clients should come here."""
+        return not self.is_stopping and self.route_table is not None
+
+    def refuses_new(self):
+        """Return whether a stopping instance takes no more requests."""
+        now = anyio.current_time()
+        self._last_request = now
+        if self._stop_began is None:
+            return False
+        return now > self._stop_began + TAKE_PART * self.settings.bounds.grace
+
+    def get_members(self):
+        """Return the live instances, this one among them unless it stops."""
+        members = dict(self._members)
+        members.pop(self.settings.name, None)
+        if not self.is_stopping:
+            members[self.settings.name] = self.member
+        return list(members.values())
+
+    def get_split(self, route):
+        """Return the counters that distribute a route's requests."""
+        key = (route.name, route.backends)
+        split = self._splits.get(key)
+        if split is None:
+            split = self._splits[key] = BackendSplit()
+        return split
+
+    def feeds_cold(self, endpoint):
+        """Return whether this instance sends to a target while it is cold."""
+        members = self.get_members()
+        regions = self.settings.regions
+        near = [m for m in members if m.failure_domain == endpoint.failure_domain]
+        if not near:
+            region = regions.get(endpoint.failure_domain)
+            near = [m for m in members if m.region == region] or members
+        ranked = rank_names(endpoint.id, [member.name for member in near])
+        return bool(ranked) and ranked[0] == self.settings.name
+
+    def format_metrics(self):
+        """Return all series as text."""
+        gauges = {
+            "turmericrudder_targets": len(self.catalog),
+            "turmericrudder_members": len(self.get_members()),
+            "turmericrudder_store_calls": self.store.call_count,
+            "turmericrudder_connections_opened": self.pool.opened,
+        }
+        return self.metrics.format(gauges)
+
+    # News, each with the store's revision
+
+    def set_configuration(self, configuration, revision):
+        """Bring a version of the configuration into force."""
+        current = self.route_table
+        if current is not None:
+            known = current.configuration.version
+            if configuration.version <= known:
+                return
+        self.route_table = RouteTable(configuration)
+        self.catalog.set_profiles(configuration.services)
+        self.log.write(
+            catalogue.REVISION_IN_FORCE,
+            version=configuration.version,
+            revision=revision,
+            routes=len(configuration.routes),
+        )
+
+    def put_target(self, endpoint, revision):
+        """Take a target's registration."""
+        if self.catalog.put(endpoint, revision, anyio.current_time()):
+            if endpoint.is_draining:
+                self.pool.forget(endpoint.id)
+            self.log.write(
+                catalogue.TARGET_REGISTERED,
+                target=endpoint.id,
+                service=endpoint.service,
+                failure_domain=endpoint.failure_domain,
+                draining=endpoint.is_draining,
+                cold_s=endpoint.cold_left,
+                revision=revision,
+            )
+
+    def remove_target(self, target_id, revision):
+        """Take the end of a target's registration."""
+        if self.catalog.remove(target_id, revision, anyio.current_time()):
+            self.pool.forget(target_id)
+            self.log.write(
+                catalogue.TARGET_WITHDRAWN, target=target_id, revision=revision
+            )
+
+    def evacuate(self, failure_domain, revision):
+        """Send nothing more to the targets of a failure domain."""
+        if self.catalog.evacuate(failure_domain):
+            self.log.write(
+                catalogue.DOMAIN_EVACUATED,
+                failure_domain=failure_domain,
+                revision=revision,
+            )
+
+    def restore(self, failure_domain, revision):
+        """Use the targets of a failure domain again."""
+        if self.catalog.restore(failure_domain, anyio.current_time()):
+            self.log.write(
+                catalogue.DOMAIN_RESTORED,
+                failure_domain=failure_domain,
+                revision=revision,
+            )
+
+    def put_member(self, member, revision):
+        """Take another instance's registration."""
+        if self._members.get(member.name) != member:
+            self._members[member.name] = member
+            self.log.write(
+                catalogue.MEMBER_JOINED, member=member.name, revision=revision
+            )
+
+    def remove_member(self, name, revision):
+        """Take the end of another instance's registration."""
+        if self._members.pop(name, None) is not None:
+            self.log.write(catalogue.MEMBER_FAILED, member=name, revision=revision)
+
+    def note_synced(self):
+        """Note that the store was read whole: what comes now is new."""
+        self.catalog.has_settled = True
+
+    # Life
+
+    async def run(self):
+        """Serve until a stop signal has been carried out."""
+        async with anyio.create_task_group() as tasks:
+            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+                for listener in self._listeners:
+                    await listener.open()
+                self.log.write(
+                    catalogue.INSTANCE_STARTED,
+                    address=self.settings.listen_clients,
+                    nonce=self.member.nonce,
+                )
+                tasks.start_soon(self.registry.run)
+                tasks.start_soon(self._register)
+                tasks.start_soon(self._keep_house)
+                async for number in signals:
+                    if number == signal.SIGTERM:
+                        break
+                    self.log.write(catalogue.SETTINGS_RELOADED)
+                await self._stop()
+            tasks.cancel_scope.cancel()
+
+    async def _register(self):
+        while self.route_table is None:
+            await anyio.sleep(0.02)
+        await self.registration.run()
+
+    async def _keep_house(self):
+        while True:
+            await anyio.sleep(TICK)
+            self.pool.close_idle()
+            self.registry.release_held()
+
+    async def _stop(self):
+        self.is_stopping = True
+        began = self._stop_began = anyio.current_time()
+        self.log.write(catalogue.INSTANCE_LEAVING, open=self.clients.request_count)
+        with anyio.move_on_after(1.0):
+            await self.registration.withdraw()
+        grace = self.settings.bounds.grace
+        # Clients that hold an answer of the directory come until it ends.
+        earliest = began + min(self.settings.bounds.lookup_ttl, TAKE_PART * grace)
+        while anyio.current_time() < began + END_PART * grace:
+            now = anyio.current_time()
+            is_quiet = now - self._last_request > QUIET
+            if now > earliest and not self.clients.request_count and is_quiet:
+                break
+            await anyio.sleep(0.05)
+        for listener in self._listeners:
+            listener.close()
+        await anyio.sleep(0.02)
+        self.log.write(catalogue.INSTANCE_STOPPED, open=self.clients.request_count)
+
+
+async def run_gateway(path):
+    """Run an instance with the settings file at ``path``."""
+    await Gateway(read_gateway_settings(path)).run()
--- /dev/null
+++ b/turmericrudder/gateway/registration.py
@@ -0,0 +1,62 @@
+"""Keep this instance's own entry in the platform's store."""
+
+import anyio
+
+from ..errors import LeaseEnded, StoreError
+from ..platform import encode_member, get_member_key
+
+__all__ = ["Registration"]
+
+# Three renewals may fail before the others take this instance for gone.
+LEASE_SECONDS = 4.0
+RENEWALS = 4  # in the life of a lease
+RETRY_PAUSE = 0.5  # seconds
+
+
+class Registration:
+    """Holds a lease with the instance's entry until :meth:`withdraw`."""
+
+    __slots__ = ("_is_withdrawn", "_lease", "_lease_seconds", "_member", "_store")
+
+    def __init__(self, settings, member, store):
+        self._store = store
+        self._member = member
+        self._lease_seconds = max(LEASE_SECONDS, settings.lease_min)
+        self._lease = None
+        self._is_withdrawn = False
+
+    async def run(self):
+        """Register and renew until withdrawn."""
+        while not self._is_withdrawn:
+            try:
+                if self._lease is None:
+                    await self._register()
+                else:
+                    await self._store.renew_lease(self._lease)
+            except LeaseEnded:
+                self._lease = None
+                continue
+            except StoreError:
+                # The registry logs that the store is away.
+                await anyio.sleep(RETRY_PAUSE)
+                continue
+            await anyio.sleep(self._lease_seconds / RENEWALS)
+
+    async def withdraw(self):
+        """Take the entry away."""
+        self._is_withdrawn = True
+        lease, self._lease = self._lease, None
+        if lease is None:
+            return
+        try:
+            await self._store.end_lease(lease)
+        except StoreError:
+            return  # the lease runs out by itself
+
+    async def _register(self):
+        lease = await self._store.grant_lease(self._lease_seconds)
+        value = encode_member(self._member)
+        await self._store.write(get_member_key(self._member.name), value, lease=lease)
+        self._lease = lease
+        if self._is_withdrawn:
+            await self._store.end_lease(lease)
--- /dev/null
+++ b/turmericrudder/gateway/service_applications.py
@@ -0,0 +1,76 @@
+"""The small ASGI applications beside the clients' address."""
+
+from ..platform import decode_question, encode_answer, names
+from ..steering import choose_entries
+
+__all__ = ["DirectoryApplication", "MetricsApplication", "ReadinessApplication"]
+
+# Part of the time that an answer may be kept at most: clients that kept it
+# leave a stopping instance within its grace time.
+TTL_PART = 0.4
+
+
+class _Application:
+    """Answers each request at once."""
+
+    __slots__ = ("_instance",)
+
+    limits = None
+
+    def __init__(self, instance):
+        self._instance = instance
+
+    async def __call__(self, scope, receive, send):
+        """Handle one HTTP request."""
+        status, kind, body = self.answer(scope["path"], scope["query_string"])
+        headers = [(b"content-type", kind), (b"content-length", b"%d" % len(body))]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    def answer(self, path, query):
+        """Return (status, content type, body)."""
+        raise NotImplementedError
+
+
+class ReadinessApplication(_Application):
+    """Tells the platform whether clients should come here."""
+
+    __slots__ = ()
+
+    def answer(self, path, query):
+        """Return (status, content type, body)."""
+        if path != names.CALL_READY:
+            return 404, b"text/plain", b""
+        return (200 if self._instance.is_ready() else 503), b"text/plain", b""
+
+
+class DirectoryApplication(_Application):
+    """Tells clients which entry instances to connect to."""
+
+    __slots__ = ()
+
+    def answer(self, path, query):
+        """Return (status, content type, body)."""
+        if path != names.CALL_RESOLVE:
+            return 404, b"text/plain", b""
+        instance = self._instance
+        failure_domain, region = decode_question(query)
+        members = choose_entries(instance.get_members(), failure_domain, region)
+        if not members:
+            return 503, b"text/plain", b""
+        ttl = instance.settings.bounds.lookup_ttl * TTL_PART
+        return 200, b"application/json", encode_answer(members, ttl)
+
+
+class MetricsApplication(_Application):
+    """Serves counters and histograms as text."""
+
+    __slots__ = ()
+
+    def answer(self, path, query):
+        """Return (status, content type, body)."""
+        if path != "/metrics":
+            return 404, b"text/plain", b""
+        return 200, b"text/plain", self._instance.format_metrics().encode()
--- a/turmericrudder/forwarding/interrupt.py
+++ b/turmericrudder/interrupt.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from ..errors import SteeringError
+from .errors import SteeringError
 
 __all__ = ["Interrupted", "run_until"]
 
--- /dev/null
+++ b/turmericrudder/platform/configuration.py
@@ -0,0 +1,136 @@
+"""Decode the operator's configuration."""
+
+import msgspec
+
+from ..errors import EntryInvalid
+from ..steering import (
+    Backend,
+    ClientLimits,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceProfile,
+)
+
+__all__ = ["decode_configuration"]
+
+MS_PER_SECOND = 1000
+
+
+class _Table(msgspec.Struct):
+    """Rows of values in the order of the columns; ``null`` means omitted."""
+
+    columns: list[str]
+    rows: list[list[object]]
+
+
+class _LimitsDocument(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _BackendDocument(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _RouteDocument(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout_ms: float
+    slo_ms: float  # the time within which an answer earns its full credit
+    max_attempts: int = 1
+    priority: int = 0
+    service: str | None = None
+    backends: list[_BackendDocument] | None = None
+    affinity: bool = False
+    home_regions: list[str] = []
+
+
+class _ServiceDocument(msgspec.Struct):
+    name: str
+    health_path: str = "/health"
+    max_conns: int = 1
+    cold_start_s: float = 0.0
+    cold_per_s: float | None = None
+
+
+class _ConfigurationDocument(msgspec.Struct):
+    version: str
+    routes: _Table
+    services: _Table
+    limits: _LimitsDocument
+
+
+def decode_configuration(value):
+    """Return the :class:`RoutingConfiguration` in the operator's document.
+
+    :raises EntryInvalid: if a field is missing, of another type or names what
+        does not exist.
+    """
+    try:
+        document = msgspec.json.decode(value, type=_ConfigurationDocument)
+        services = _convert(document.services, _ServiceDocument)
+        routes = _convert(document.routes, _RouteDocument)
+        version = int(document.version.removeprefix("r"))
+    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as exc:
+        raise EntryInvalid(f"configuration: {exc}") from None
+    profiles = {service.name: _to_profile(service) for service in services}
+    return RoutingConfiguration(
+        version=version,
+        routes=tuple(_to_route(route) for route in routes),
+        services=profiles,
+        limits=_to_limits(document.limits),
+    )
+
+
+def _convert(table, kind):
+    for row in table.rows:
+        pairs = zip(table.columns, row, strict=True)
+        present = {name: value for name, value in pairs if value is not None}
+        yield msgspec.convert(present, kind)
+
+
+def _to_route(route):
+    if route.backends:
+        backends = tuple(Backend(item.service, item.weight) for item in route.backends)
+    elif route.service is not None:
+        backends = (Backend(route.service, 1.0),)
+    else:
+        raise EntryInvalid(f"configuration: route {route.name!r} names no service")
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=route.kind,
+        timeout=route.timeout_ms / MS_PER_SECOND,
+        objective=route.slo_ms / MS_PER_SECOND,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        backends=backends,
+        has_affinity=route.affinity,
+        home_regions=frozenset(route.home_regions),
+    )
+
+
+def _to_profile(service):
+    return ServiceProfile(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_conns,
+        cold_start=service.cold_start_s,
+        cold_rate=service.cold_per_s,
+    )
+
+
+def _to_limits(limits):
+    return ClientLimits(
+        head_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_timeout=limits.header_timeout_ms / MS_PER_SECOND,
+        idle_timeout=limits.idle_timeout_ms / MS_PER_SECOND,
+    )
--- /dev/null
+++ b/turmericrudder/platform/members.py
@@ -0,0 +1,55 @@
+"""Encode and decode the registrations of entry instances."""
+
+import msgspec
+
+from ..address import Address
+from ..errors import AddressInvalid, EntryInvalid
+from ..steering import Member
+from .names import MEMBER_PREFIX
+
+__all__ = ["decode_member", "encode_member", "get_member_key", "get_member_name"]
+
+
+class _MemberDocument(msgspec.Struct):
+    address: str
+    failure_domain: str
+    region: str
+    nonce: str
+
+
+def get_member_key(name):
+    """Return the key under which an instance registers."""
+    return MEMBER_PREFIX + name
+
+
+def get_member_name(key):
+    """Return the name of the instance that a key belongs to."""
+    return key[len(MEMBER_PREFIX) :]
+
+
+def encode_member(member):
+    """Return the registration of an instance as bytes."""
+    return msgspec.json.encode(
+        _MemberDocument(
+            str(member.address), member.failure_domain, member.region, member.nonce
+        )
+    )
+
+
+def decode_member(key, value):
+    """Return the :class:`Member` in a registration.
+
+    :raises EntryInvalid: if a field is missing or of another type.
+    """
+    try:
+        document = msgspec.json.decode(value, type=_MemberDocument)
+        address = Address.parse(document.address)
+    except (msgspec.DecodeError, AddressInvalid) as exc:
+        raise EntryInvalid(f"registration {key!r}: {exc}") from None
+    return Member(
+        get_member_name(key),
+        address,
+        document.failure_domain,
+        document.region,
+        document.nonce,
+    )
--- /dev/null
+++ b/turmericrudder/platform/store.py
@@ -0,0 +1,221 @@
+"""The client of the platform's metadata store."""
+
+import base64
+import binascii
+import socket
+from urllib.parse import quote
+
+import httpcore
+import msgspec
+
+from ..errors import (
+    HistoryLost,
+    LeaseEnded,
+    StoreOverloaded,
+    StoreUnavailable,
+    VersionConflict,
+)
+from . import names
+from .records import Changes, Deletion, Item, Page
+
+__all__ = ["MetadataStore"]
+
+TIMEOUT = 2.0  # seconds; the store answers in milliseconds, if slowly in tenths
+WATCH_MARGIN = 2.0  # seconds beyond the wait that a watch asks for
+MAX_CONNECTIONS = 4
+# A connection that went silent shows only by probes of our own.
+KEEPALIVE_IDLE = 1  # seconds
+KEEPALIVE_INTERVAL = 1  # seconds
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 3000
+_SOCKET_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+)
+
+_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+)
+
+
+class _ItemDocument(msgspec.Struct):
+    key: str
+    rev: int
+    value: str = ""
+    deleted: bool = False
+
+
+class _PageDocument(msgspec.Struct):
+    items: list[_ItemDocument]
+    store_revision: int
+    has_more: bool = False
+
+
+class _ChangesDocument(msgspec.Struct):
+    events: list[_ItemDocument]
+    store_revision: int
+
+
+class _LeaseDocument(msgspec.Struct):
+    lease: int
+    ttl_ms: int
+
+
+class _WrittenDocument(msgspec.Struct):
+    rev: int
+
+
+class MetadataStore:
+    """Reads, watches, conditional writes and leases."""
+
+    __slots__ = ("_pool", "_url", "call_count")
+
+    def __init__(self, address):
+        self._url = f"http://{address}"
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
+        )
+        self.call_count = 0
+
+    async def aclose(self):
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def get(self, key):
+        """Return the :class:`Item` of a key, or ``None``.
+
+        :raises StoreUnavailable: if no useful answer came.
+        """
+        path = f"{names.CALL_KEY}?key={quote(key, safe='/')}"
+        response = await self._call("GET", path)
+        if response.status == 404:
+            return None
+        self._check(response, path)
+        return _to_item(self._decode(response, _ItemDocument))
+
+    async def get_range(self, prefix, after=""):
+        """Return a :class:`Page` of the keys with a prefix.
+
+        :param after: last key of the page before.
+        """
+        path = f"{names.CALL_RANGE}?prefix={quote(prefix, safe='/')}"
+        if after:
+            path += f"&after={quote(after, safe='/')}"
+        response = await self._call("GET", path)
+        self._check(response, path)
+        page = self._decode(response, _PageDocument)
+        return Page(
+            tuple(map(_to_item, page.items)), page.store_revision, page.has_more
+        )
+
+    async def watch(self, prefix, after, wait):
+        """Return the :class:`Changes` after a revision, waiting for the first.
+
+        :param wait: seconds after which an empty answer comes.
+        :raises HistoryLost: if the store no longer has all changes since.
+        """
+        path = (
+            f"{names.CALL_WATCH}?prefix={quote(prefix, safe='/')}"
+            f"&after={after}&wait_ms={int(wait * 1000)}"
+        )
+        response = await self._call("GET", path, timeout=wait + WATCH_MARGIN)
+        if response.status == 410:
+            raise HistoryLost(f"no history after revision {after}")
+        self._check(response, path)
+        changes = self._decode(response, _ChangesDocument)
+        return Changes(tuple(map(_to_event, changes.events)), changes.store_revision)
+
+    async def write(self, key, value, expected=None, lease=0):
+        """Write a key and return its revision.
+
+        :param expected: revision it must have now, 0 for none, ``None`` for any.
+        :raises VersionConflict: if it has another revision.
+        :raises LeaseEnded: if the lease does not exist.
+        :raises StoreUnavailable: if it is unknown whether it took effect.
+        """
+        put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        conditions = [] if expected is None else [{"key": key, "rev": expected}]
+        body = {"expected_rev": conditions, "puts": [put], "remove": []}
+        response = await self._call("POST", names.CALL_TRANSACTION, body)
+        if response.status == 412:
+            raise VersionConflict(f"{key} is not at revision {expected}")
+        if response.status == 404:
+            raise LeaseEnded(f"lease {lease} does not exist")
+        self._check(response, names.CALL_TRANSACTION)
+        return self._decode(response, _WrittenDocument).rev
+
+    async def grant_lease(self, ttl):
+        """Return the id of a new lease that lives for ``ttl`` seconds."""
+        body = {"ttl_ms": int(ttl * 1000)}
+        response = await self._call("POST", names.CALL_LEASE, body)
+        self._check(response, names.CALL_LEASE)
+        return self._decode(response, _LeaseDocument).lease
+
+    async def renew_lease(self, lease):
+        """Let a lease live for its whole time from now.
+
+        :raises LeaseEnded: if it does not exist any more.
+        """
+        path = f"{names.CALL_LEASE_RENEW}/{lease}"
+        response = await self._call("POST", path)
+        if response.status == 404:
+            raise LeaseEnded(f"lease {lease} does not exist")
+        self._check(response, path)
+
+    async def end_lease(self, lease):
+        """End a lease; its keys are removed."""
+        path = f"{names.CALL_LEASE_END}/{lease}"
+        response = await self._call("DELETE", path)
+        if response.status != 404:
+            self._check(response, path)
+
+    async def _call(self, method, path, body=None, timeout=TIMEOUT):
+        self.call_count += 1
+        limits = dict.fromkeys(("connect", "pool"), TIMEOUT)
+        limits |= dict.fromkeys(("read", "write"), timeout)
+        headers, content = [], None
+        if body is not None:
+            headers = [(b"content-type", b"application/json")]
+            content = msgspec.json.encode(body)
+        try:
+            return await self._pool.request(
+                method,
+                self._url + path,
+                headers=headers,
+                content=content,
+                extensions={"timeout": limits},
+            )
+        except _FAILURES as exc:
+            raise StoreUnavailable(f"{method} {path}: {exc!r}") from exc
+
+    def _check(self, response, path):
+        if response.status == 429:
+            raise StoreOverloaded(f"{path}: status 429")
+        if response.status != 200:
+            raise StoreUnavailable(f"{path}: status {response.status}")
+
+    def _decode(self, response, kind):
+        try:
+            return msgspec.json.decode(response.content, type=kind)
+        except msgspec.DecodeError as exc:
+            raise StoreUnavailable(f"an answer that cannot be read: {exc}") from exc
+
+
+def _to_item(document):
+    try:
+        value = base64.b64decode(document.value, validate=True)
+    except binascii.Error:
+        value = b""  # no reader accepts an empty value, so each logs the key
+    return Item(document.key, value, document.rev)
+
+
+def _to_event(document):
+    if document.deleted:
+        return Deletion(document.key, document.rev)
+    return _to_item(document)
--- /dev/null
+++ b/turmericrudder/settings/gateway.py
@@ -0,0 +1,82 @@
+"""The settings file of an entry instance on a platform with a directory."""
+
+from dataclasses import dataclass
+
+from ..address import Address
+from ..errors import SettingsInvalid
+from ..ini import Section, read_ini_file
+from .bounds import BoundSettings
+
+__all__ = ["GatewaySettings", "read_gateway_settings"]
+
+_SECTIONS = ("instance", "listen", "store", "regions", "bounds", "log")
+_REQUIRED = ("instance", "listen", "store", "regions", "bounds")
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Everything such an instance has to be told.
+
+    ``listen_clients`` takes requests, ``listen_readiness`` the platform's
+    checks, ``listen_directory`` questions of clients for entry instances and
+    ``listen_peers`` questions of other instances. ``regions`` maps failure
+    domains to regions. ``lease_min`` is the shortest lease in seconds that the
+    store grants.
+    """
+
+    name: str
+    failure_domain: str
+    region: str
+    listen_clients: Address
+    listen_readiness: Address
+    listen_directory: Address
+    listen_peers: Address
+    listen_metrics: Address
+    store: Address
+    lease_min: float
+    seeds: tuple[Address, ...]
+    regions: dict[str, str]
+    bounds: BoundSettings
+    log_format: str
+    log_level: str
+
+    def __repr__(self):
+        return f"<GatewaySettings {self.name}>"
+
+
+def read_gateway_settings(path):
+    """Return the settings in the INI file at ``path``.
+
+    :raises SettingsInvalid: naming file, section, key and reason.
+    """
+    sections = read_ini_file(path, _SECTIONS, _REQUIRED, SettingsInvalid)
+    sections.setdefault("log", Section(str(path), "log", {}, SettingsInvalid))
+    settings = _read_sections(sections)
+    for section in sections.values():
+        section.check_empty()
+    return settings
+
+
+def _read_sections(sections):
+    instance = sections["instance"]
+    listen = sections["listen"]
+    store = sections["store"]
+    regions = sections["regions"]
+    log = sections["log"]
+    return GatewaySettings(
+        name=instance.get_text("name"),
+        failure_domain=instance.get_text("failure_domain"),
+        region=instance.get_text("region"),
+        listen_clients=listen.get_address("clients"),
+        listen_readiness=listen.get_address("readiness"),
+        listen_directory=listen.get_address("directory"),
+        listen_peers=listen.get_address("peers"),
+        listen_metrics=listen.get_address("metrics"),
+        store=store.get_address("address"),
+        lease_min=store.get_duration("lease_min"),
+        seeds=tuple(map(Address.parse, listen.get_list("seeds", ""))),
+        regions={name: regions.get_text(name) for name in list(regions)},
+        bounds=BoundSettings.read(sections["bounds"]),
+        log_format=log.get_choice("format", ("plain", "json"), "json"),
+        log_level=log.get_choice("level", ("debug", "info", "warning"), "info"),
+    )
--- /dev/null
+++ b/turmericrudder/steering/balancer.py
@@ -0,0 +1,263 @@
+"""Choose the target that a request should be sent to.
+
+One cost covers everything that delays an answer: the distance, work that is
+already there, whether the target has handled the object lately, how slow its
+machine is now and how often it fails. All of it is learned from answers.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..rendezvous import get_score
+from .region_shift import RegionShift
+from .target_record import TargetRecord
+from .work_estimate import FIRST, OTHER, WorkEstimate
+
+__all__ = ["Balancer", "Chosen", "NoTarget", "Obstacle", "Query"]
+
+# Until a first connection tells: what a round trip may take.
+PRIOR_NEAR = 0.001  # seconds, within a region
+PRIOR_FAR = 0.06  # seconds, between regions
+JITTER = 0.02  # of the cost, so that instances with equal views differ
+MAX_RANKINGS = 4096  # objects whose order of targets is remembered
+COLD_SLOWDOWN = 2.0  # how much longer work is taken to last at a cold target
+CROWD_WEIGHT = 1.0  # what a busy service adds to the price of its targets' time
+
+
+class Obstacle(Enum):
+    """Why no target was found."""
+
+    NONE_REGISTERED = "none_registered"
+    NONE_ALLOWED = "none_allowed"
+    NONE_REACHABLE = "none_reachable"
+    ALL_COLD = "all_cold"
+    TOO_LATE = "too_late"
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """What matters of a request for the choice.
+
+    :param object_key: value that requests for the same object share, or ``None``.
+    :param expires: monotonic time by which the answer must be there.
+    :param tried: ids of targets that had this request already.
+    """
+
+    service: str
+    route: object
+    object_key: str | None
+    expires: float
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """The target with the least cost.
+
+    :param expected: seconds until its answer: round trip, wait and work.
+    :param slowdown: how much longer than usual work takes there now.
+    :param work_key: what the answer will teach of, see :class:`WorkEstimate`.
+    """
+
+    record: TargetRecord
+    expected: float
+    round_trip: float
+    work: float
+    slowdown: float
+    cost: float
+    work_key: object
+    is_away: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NoTarget:
+    """No target can take the request.
+
+    :param retry_after: seconds after which there may be room.
+    """
+
+    obstacle: Obstacle
+    retry_after: float
+
+
+class Balancer:
+    """Pure decisions over the catalog's records.
+
+    :param feeds_cold: function of a target's id that returns whether this
+        instance is the one that sends to it while it is cold.
+    """
+
+    __slots__ = (
+        "_catalog",
+        "_estimates",
+        "_feeds_cold",
+        "_random",
+        "_rankings",
+        "_settings",
+        "_shift",
+    )
+
+    def __init__(self, settings, catalog, feeds_cold, random):
+        self._settings = settings
+        self._catalog = catalog
+        self._feeds_cold = feeds_cold
+        self._random = random
+        self._estimates = {}
+        self._rankings = {}
+        self._shift = RegionShift(settings.bounds.max_shift)
+
+    def get_estimate(self, route):
+        """Return what is known of the work of a route's requests."""
+        estimate = self._estimates.get(route.name)
+        if estimate is None:
+            estimate = self._estimates[route.name] = WorkEstimate(route.objective)
+        return estimate
+
+    def choose(self, query, now):
+        """Return :class:`Chosen` or :class:`NoTarget`; nothing is counted."""
+        records = self._catalog.get_records(query.service)
+        if not records:
+            return NoTarget(Obstacle.NONE_REGISTERED, query.route.objective)
+        usable = [record for record in records if self._is_allowed(record, query)]
+        if not usable:
+            return NoTarget(Obstacle.NONE_ALLOWED, query.route.objective)
+        reachable = [
+            record for record in usable if now >= record.blocked_until
+        ] or usable
+        warm = [record for record in reachable if self._takes_more(record, now)]
+        if not warm:
+            return NoTarget(Obstacle.ALL_COLD, 1.0)
+        best = self._get_cheapest(query, warm, now)
+        if now + best.expected > query.expires:
+            return NoTarget(Obstacle.TOO_LATE, best.expected / 2)
+        return best
+
+    def note_sent(self, chosen, query, now):
+        """Count a request that is sent now."""
+        record = chosen.record
+        if record.is_cold(now):
+            record.cold_gate.note(now)
+        if query.object_key is not None:
+            record.objects.note((query.route.name, query.object_key))
+        self._shift.note(chosen.is_away, now)
+
+    def get_round_trip(self, record):
+        """Return the seconds there and back."""
+        if record.round_trip is not None:
+            return record.round_trip
+        return PRIOR_FAR if self._is_away(record) else PRIOR_NEAR
+
+    def _is_allowed(self, record, query):
+        homes = query.route.home_regions
+        if homes and self._get_region(record) not in homes:
+            return False
+        return record.endpoint.id not in query.tried and self._catalog.is_usable(record)
+
+    def _takes_more(self, record, now):
+        if not record.is_cold(now):
+            return True
+        profile = self._catalog.get_profile(record.endpoint.service)
+        if profile is None or profile.cold_rate is None:
+            return True
+        bounds = self._settings.bounds
+        return self._feeds_cold(record.endpoint) and record.cold_gate.is_open(
+            profile.cold_rate, bounds.cold_overage, bounds.cold_slack, now
+        )
+
+    def _get_cheapest(self, query, records, now):
+        first = self._get_first(query, records)
+        crowd = self._get_crowd(records, now)
+        estimate = self.get_estimate(query.route)
+        may_leave = self._shift.may_leave(now)
+        best = best_at_home = None
+        for record in records:
+            chosen = self._weigh(query, record, first, crowd, estimate, now)
+            if best is None or chosen.cost < best.cost:
+                best = chosen
+            if not chosen.is_away and (
+                best_at_home is None or chosen.cost < best_at_home.cost
+            ):
+                best_at_home = chosen
+        if best.is_away and best_at_home is not None and not may_leave:
+            return best_at_home
+        return best
+
+    def _weigh(self, query, record, first, crowd, estimate, now):
+        key = self._get_work_key(query, record, first)
+        slots = record.endpoint.slots
+        slowdown = record.get_slowdown(now)
+        if record.is_cold(now):
+            slowdown *= COLD_SLOWDOWN
+        work = estimate.get(key) * slowdown
+        round_trip = self.get_round_trip(record)
+        wait = 0.0
+        surplus = record.get_occupancy(now) + 1 - slots
+        if surplus > 0:
+            wait = surplus * (record.mean_work or work) / slots
+        expected = round_trip + wait + work
+        cost = expected + crowd * CROWD_WEIGHT * work
+        cost += record.get_failure_share(now) * query.route.objective
+        cost += record.get_stall(now, work)
+        cost *= 1.0 + JITTER * self._random.random()
+        return Chosen(
+            record,
+            expected,
+            round_trip,
+            work,
+            slowdown,
+            cost,
+            key,
+            self._is_away(record),
+        )
+
+    def _get_work_key(self, query, record, first):
+        if query.object_key is None:
+            return 0
+        age = record.objects.get_age((query.route.name, query.object_key))
+        if age is not None:
+            return age
+        return FIRST if record.endpoint.id in first else OTHER
+
+    def _get_first(self, query, records):
+        """Return the ids of the first choices for the object: here and far."""
+        if query.object_key is None:
+            return ()
+        order = self._get_ranking(query)
+        near = far = None
+        for record in records:
+            place = order.get(record.endpoint.id)
+            if place is None:
+                place = order[record.endpoint.id] = get_score(
+                    f"{query.route.name}/{query.object_key}",
+                    record.endpoint.id,
+                    record.endpoint.slots,
+                )
+            entry = (place, record.endpoint.id)
+            if self._is_away(record):
+                far = entry if far is None else max(far, entry)
+            else:
+                near = entry if near is None else max(near, entry)
+        return [entry[1] for entry in (near, far) if entry is not None]
+
+    def _get_ranking(self, query):
+        key = (query.route.name, query.object_key)
+        ranking = self._rankings.get(key)
+        if ranking is None:
+            ranking = self._rankings[key] = {}
+            if len(self._rankings) > MAX_RANKINGS:
+                del self._rankings[next(iter(self._rankings))]
+        return ranking
+
+    def _get_crowd(self, records, now):
+        slots = occupied = 0.0
+        for record in records:
+            if not self._is_away(record):
+                slots += record.endpoint.slots
+                occupied += min(record.get_occupancy(now), 2 * record.endpoint.slots)
+        return (occupied / slots) ** 2 if slots else 1.0
+
+    def _get_region(self, record):
+        return self._settings.regions.get(record.endpoint.failure_domain)
+
+    def _is_away(self, record):
+        return self._get_region(record) != self._settings.region
--- /dev/null
+++ b/turmericrudder/steering/entry_choice.py
@@ -0,0 +1,22 @@
+"""Which entry instances a client should connect to."""
+
+__all__ = ["choose_entries"]
+
+MAX_ENTRIES = 64  # addresses that one answer may name
+
+
+def choose_entries(members, failure_domain, region):
+    """Return the members nearest to a client, all of the same distance.
+
+    Clients choose among the addresses at random, so a farther instance is
+    named only where no nearer one lives.
+    """
+    for is_near in (
+        lambda member: member.failure_domain == failure_domain,
+        lambda member: member.region == region,
+        lambda member: True,
+    ):
+        found = [member for member in members if is_near(member)]
+        if found:
+            return sorted(found, key=lambda member: member.name)[:MAX_ENTRIES]
+    return []
--- /dev/null
+++ b/turmericrudder/steering/member.py
@@ -0,0 +1,22 @@
+"""An entry instance as the others know it."""
+
+from dataclasses import dataclass
+
+from ..address import Address
+
+__all__ = ["Member"]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One live entry instance.
+
+    :param address: where clients connect.
+    :param nonce: tells one start of an instance from the next.
+    """
+
+    name: str
+    address: Address
+    failure_domain: str
+    region: str
+    nonce: str
--- /dev/null
+++ b/turmericrudder/steering/region_shift.py
@@ -0,0 +1,46 @@
+"""Keep the share of requests that leave their region from jumping."""
+
+__all__ = ["RegionShift"]
+
+WINDOW = 2.0  # seconds; the unit in which a change of the share is judged
+SAFETY = 0.6  # part of the bound that is used; windows of others overlap ours
+MIN_REQUESTS = 20  # requests in a window before a share means something
+
+
+class RegionShift:
+    """The share of one instance's requests that run in another region.
+
+    It may grow by a part of the bound from one window to the next.
+    """
+
+    __slots__ = ("_away", "_began", "_last_share", "_most", "_total")
+
+    def __init__(self, most):
+        """Start with all requests at home.
+
+        :param most: bound on the change of the share in a window.
+        """
+        self._most = most
+        self._began = 0.0
+        self._total = self._away = 0
+        self._last_share = 0.0
+
+    def may_leave(self, now):
+        """Return whether one more request may run in another region."""
+        self._turn(now)
+        limit = self._last_share + SAFETY * self._most
+        return self._away + 1 <= limit * max(self._total + 1, MIN_REQUESTS)
+
+    def note(self, is_away, now):
+        """Count a request that is sent."""
+        self._turn(now)
+        self._total += 1
+        self._away += is_away
+
+    def _turn(self, now):
+        if now - self._began < WINDOW:
+            return
+        if self._total >= MIN_REQUESTS:
+            self._last_share = self._away / self._total
+        self._began = now
+        self._total = self._away = 0
--- /dev/null
+++ b/turmericrudder/steering/retry_allowance.py
@@ -0,0 +1,54 @@
+"""How many repeats of requests this instance may send to a service."""
+
+from collections import deque
+
+__all__ = ["RetryAllowance"]
+
+SAFETY = 0.8  # part of the bound that is used; clocks and arrivals differ a little
+SLICES = 10  # parts of a window; a whole slice is forgotten at once
+
+
+class RetryAllowance:
+    """Counts requests and repeats over a sliding window.
+
+    The bound covers all instances together. Each keeps ``ratio`` of its own
+    requests and an equal part of the fixed extra, so no one has to be asked.
+    """
+
+    __slots__ = ("_extra", "_ratio", "_slices", "_window")
+
+    def __init__(self, ratio, extra, window):
+        """Start empty.
+
+        :param extra: repeats in a window that are free, for all instances.
+        :param window: seconds.
+        """
+        self._ratio = ratio
+        self._extra = extra
+        self._window = window
+        self._slices = deque()  # [end of slice, requests, repeats]
+
+    def note_request(self, now):
+        """Count the first send of a request."""
+        self._get_slice(now)[1] += 1
+
+    def spend(self, now, instances):
+        """Return whether a repeat may be sent now, and count it.
+
+        :param instances: how many instances share the fixed extra.
+        """
+        current = self._get_slice(now)
+        requests = sum(item[1] for item in self._slices)
+        repeats = sum(item[2] for item in self._slices)
+        limit = self._ratio * requests + self._extra / max(1, instances)
+        if repeats + 1 > SAFETY * limit:
+            return False
+        current[2] += 1
+        return True
+
+    def _get_slice(self, now):
+        while self._slices and self._slices[0][0] <= now - self._window:
+            self._slices.popleft()
+        if not self._slices or self._slices[-1][0] <= now:
+            self._slices.append([now + self._window / SLICES, 0, 0])
+        return self._slices[-1]
