Give each object an order of targets and let the first window of shifts be free

Changed: no window comes before the first, so it is free, and a share may not fall faster than it may rise. An object has one order of targets that all instances find; the next in order takes what the first has no room for. An answer that may miss its objective has a price.

Ruled out: too little capacity (all objects of a region fit into its targets).

--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -99,6 +99,7 @@
             request.service,
             request.route,
             request.object_key,
+            request.arrived,
             request.expires,
             frozenset(course.tried),
         )
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -5,6 +5,7 @@
 machine is now and how often it fails. All of it is learned from answers.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -19,7 +20,10 @@
 PRIOR_NEAR = 0.001  # seconds, within a region
 PRIOR_FAR = 0.06  # seconds, between regions
 JITTER = 0.02  # of the cost, so that instances with equal views differ
-MAX_RANKINGS = 4096  # objects whose order of targets is remembered
+MAX_OBJECTS = 4096  # objects whose order of targets is remembered
+PLACE_WEIGHT = 0.1  # of the cost, for each place further down an object's order
+MAX_PLACE = 5  # places after which further ones cost no more
+LATENESS_SPREAD = 0.25  # of the expected time; how far answers scatter around it
 COLD_SLOWDOWN = 2.0  # how much longer work is taken to last at a cold target
 CROWD_WEIGHT = 1.0  # what a busy service adds to the price of its targets' time
 
@@ -39,6 +43,7 @@
     """What matters of a request for the choice.
 
     :param object_key: value that requests for the same object share, or ``None``.
+    :param arrived: monotonic time of the request's arrival.
     :param expires: monotonic time by which the answer must be there.
     :param tried: ids of targets that had this request already.
     """
@@ -46,6 +51,7 @@
     service: str
     route: object
     object_key: str | None
+    arrived: float
     expires: float
     tried: frozenset[str] = frozenset()
 
@@ -92,7 +98,7 @@
         "_estimates",
         "_feeds_cold",
         "_random",
-        "_rankings",
+        "_scores",
         "_settings",
         "_shift",
     )
@@ -103,7 +109,7 @@
         self._feeds_cold = feeds_cold
         self._random = random
         self._estimates = {}
-        self._rankings = {}
+        self._scores = {}
         self._shift = RegionShift(settings.bounds.max_shift)
 
     def get_estimate(self, route):
@@ -165,25 +171,26 @@
         )
 
     def _get_cheapest(self, query, records, now):
-        first = self._get_first(query, records)
+        places = self._get_places(query, records)
         crowd = self._get_crowd(records, now)
         estimate = self.get_estimate(query.route)
-        may_leave = self._shift.may_leave(now)
-        best = best_at_home = None
+        best_away = best_at_home = None
         for record in records:
-            chosen = self._weigh(query, record, first, crowd, estimate, now)
-            if best is None or chosen.cost < best.cost:
-                best = chosen
-            if not chosen.is_away and (
-                best_at_home is None or chosen.cost < best_at_home.cost
-            ):
+            chosen = self._weigh(query, record, places, crowd, estimate, now)
+            if chosen.is_away:
+                if best_away is None or chosen.cost < best_away.cost:
+                    best_away = chosen
+            elif best_at_home is None or chosen.cost < best_at_home.cost:
                 best_at_home = chosen
-        if best.is_away and best_at_home is not None and not may_leave:
-            return best_at_home
-        return best
-
-    def _weigh(self, query, record, first, crowd, estimate, now):
-        key = self._get_work_key(query, record, first)
+        if best_away is None or best_at_home is None:
+            return best_away or best_at_home
+        if best_away.cost < best_at_home.cost:
+            return best_away if self._shift.may_leave(now) else best_at_home
+        return best_at_home if self._shift.may_stay(now) else best_away
+
+    def _weigh(self, query, record, places, crowd, estimate, now):
+        place = places.get(record.endpoint.id, 0)
+        key = self._get_work_key(query, record, place)
         slots = record.endpoint.slots
         slowdown = record.get_slowdown(now)
         if record.is_cold(now):
@@ -196,8 +203,11 @@
             wait = surplus * (record.mean_work or work) / slots
         expected = round_trip + wait + work
         cost = expected + crowd * CROWD_WEIGHT * work
+        cost += self._get_lateness(query, expected, now)
         cost += record.get_failure_share(now) * query.route.objective
         cost += record.get_stall(now, work)
+        if key in (FIRST, OTHER):
+            cost *= 1.0 + PLACE_WEIGHT * min(place, MAX_PLACE)
         cost *= 1.0 + JITTER * self._random.random()
         return Chosen(
             record,
@@ -210,43 +220,57 @@
             self._is_away(record),
         )
 
-    def _get_work_key(self, query, record, first):
+    def _get_lateness(self, query, expected, now):
+        """Return the price of an answer that may miss its objective."""
+        objective = query.route.objective
+        margin = query.arrived + objective - now - expected
+        spread = LATENESS_SPREAD * max(expected, LATENESS_SPREAD * objective)
+        return objective / (1.0 + math.exp(max(-50.0, min(50.0, margin / spread))))
+
+    def _get_work_key(self, query, record, place):
         if query.object_key is None:
             return 0
         age = record.objects.get_age((query.route.name, query.object_key))
         if age is not None:
             return age
-        return FIRST if record.endpoint.id in first else OTHER
+        return FIRST if place == 0 else OTHER
+
+    def _get_places(self, query, records):
+        """Return {target id: its place in the object's order}, near and far.
 
-    def _get_first(self, query, records):
-        """Return the ids of the first choices for the object: here and far."""
+        All instances find the same order, so what one of them has made a
+        target handle is where the others look for it.
+        """
         if query.object_key is None:
-            return ()
-        order = self._get_ranking(query)
-        near = far = None
+            return {}
+        scores = self._get_scores(query)
+        near, far = [], []
         for record in records:
-            place = order.get(record.endpoint.id)
-            if place is None:
-                place = order[record.endpoint.id] = get_score(
+            target_id = record.endpoint.id
+            score = scores.get(target_id)
+            if score is None:
+                score = scores[target_id] = get_score(
                     f"{query.route.name}/{query.object_key}",
-                    record.endpoint.id,
+                    target_id,
                     record.endpoint.slots,
                 )
-            entry = (place, record.endpoint.id)
-            if self._is_away(record):
-                far = entry if far is None else max(far, entry)
-            else:
-                near = entry if near is None else max(near, entry)
-        return [entry[1] for entry in (near, far) if entry is not None]
-
-    def _get_ranking(self, query):
+            (far if self._is_away(record) else near).append((-score, target_id))
+        near.sort()
+        far.sort()
+        return {
+            target_id: place
+            for group in (near, far)
+            for place, (_, target_id) in enumerate(group)
+        }
+
+    def _get_scores(self, query):
         key = (query.route.name, query.object_key)
-        ranking = self._rankings.get(key)
-        if ranking is None:
-            ranking = self._rankings[key] = {}
-            if len(self._rankings) > MAX_RANKINGS:
-                del self._rankings[next(iter(self._rankings))]
-        return ranking
+        scores = self._scores.get(key)
+        if scores is None:
+            scores = self._scores[key] = {}
+            if len(self._scores) > MAX_OBJECTS:
+                del self._scores[next(iter(self._scores))]
+        return scores
 
     def _get_crowd(self, records, now):
         slots = occupied = 0.0
--- a/turmericrudder/steering/region_shift.py
+++ b/turmericrudder/steering/region_shift.py
@@ -10,27 +10,39 @@
 class RegionShift:
     """The share of one instance's requests that run in another region.
 
-    It may grow by a part of the bound from one window to the next.
+    It changes by a part of the bound at most from one window to the next. The
+    first window with enough requests is free, for nothing came before it.
     """
 
-    __slots__ = ("_away", "_began", "_last_share", "_most", "_total")
+    __slots__ = ("_away", "_began", "_last_share", "_step", "_total")
 
     def __init__(self, most):
-        """Start with all requests at home.
+        """Start without any request.
 
         :param most: bound on the change of the share in a window.
         """
-        self._most = most
-        self._began = 0.0
+        self._step = SAFETY * most
+        self._began = None
         self._total = self._away = 0
-        self._last_share = 0.0
+        self._last_share = None
 
     def may_leave(self, now):
         """Return whether one more request may run in another region."""
         self._turn(now)
-        limit = self._last_share + SAFETY * self._most
+        if self._last_share is None:
+            return True
+        limit = self._last_share + self._step
         return self._away + 1 <= limit * max(self._total + 1, MIN_REQUESTS)
 
+    def may_stay(self, now):
+        """Return whether one more request may run in its own region."""
+        self._turn(now)
+        if self._last_share is None:
+            return True
+        home = self._total - self._away
+        limit = 1.0 - self._last_share + self._step
+        return home + 1 <= limit * max(self._total + 1, MIN_REQUESTS)
+
     def note(self, is_away, now):
         """Count a request that is sent."""
         self._turn(now)
@@ -38,6 +50,8 @@
         self._away += is_away
 
     def _turn(self, now):
+        if self._began is None:
+            self._began = now
         if now - self._began < WINDOW:
             return
         if self._total >= MIN_REQUESTS:
