Explain requests from their ids: bounded log lines, metrics for collectors

Each send writes what decided it (target, revision of its entry, age of its load report, expected time) and how it ended; a request that failed, came late or needed a second send always has its lines, up to 300 a second, the others up to 20 a second and by id beyond. A thread writes; what finds no room is counted. Histograms go out in the text format that collectors read. The settings file is read again on SIGHUP or when it changes.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -241,6 +241,8 @@
 def _parse_gauges(text):
     gauges = {}
     for line in text.splitlines():
+        if line.startswith("#"):
+            continue
         name, _, value = line.rpartition(" ")
         gauges[name.removeprefix("turmericrudder_")] = float(value)
     return gauges
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,9 +1,30 @@
 """The catalogue of events against the code and the page for operators."""
 
+import io
+import logging
 import re
+import threading
+import time
 from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+from prometheus_client.parser import text_string_to_metric_families
+
+from turmericrudder.events import catalogue, iter_events
+from turmericrudder.events.buffered_handler import MAX_LINES, BufferedHandler
+from turmericrudder.gateway.request_log import (
+    PLAIN_RATE,
+    RequestLog,
+    RequestTrail,
+)
+from turmericrudder.metrics import Metrics
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
 
-from turmericrudder.events import iter_events
 
 ROOT = Path(__file__).resolve().parent.parent
 PAGE = (ROOT / "docs" / "events.md").read_text()
@@ -31,3 +52,76 @@
         e.name for e in iter_events() if f"catalogue.{e.name.upper()}" not in code
     ]
     assert unused == []
+
+
+def test_handler_drops_and_counts_what_finds_no_room():
+    class Blocked(io.StringIO):
+        def __init__(self):
+            super().__init__()
+            self.opened = threading.Event()
+
+        def write(self, text):
+            self.opened.wait()
+            return super().write(text)
+
+    stream = Blocked()
+    handler = BufferedHandler(stream)
+    handler.setFormatter(logging.Formatter("%(message)s"))
+    began = time.monotonic()
+    for number in range(MAX_LINES + 100):
+        handler.emit(logging.makeLogRecord({"msg": str(number)}))
+    assert time.monotonic() - began < 2.0
+    stream.opened.set()
+    time.sleep(0.3)
+    handler.emit(logging.makeLogRecord({"msg": "after"}))
+    handler.close()
+    lines = stream.getvalue().splitlines()
+    assert lines[0] == "0" and lines[-1] == "after"
+    assert "log_dropped" in lines[-2]
+    dropped = int(re.search(r'"lines":(\d+)', lines[-2])[1])
+    assert len(lines) - 2 + dropped == MAX_LINES + 100
+
+
+@pytest.mark.anyio
+async def test_troubled_requests_always_get_lines_and_plain_ones_a_rate():
+    written = []
+    log = SimpleNamespace(
+        write=lambda event, **fields: written.append((event, fields)),
+        write_late=lambda event, when, fields: written.append((event, fields)),
+    )
+    request_log = RequestLog(log)
+    for number in range(1000):
+        trail = RequestTrail(f"p{number}")
+        request_log.end(trail, catalogue.ROUTE_ANSWERED, True, status=200)
+    plain = len(written)
+    assert PLAIN_RATE <= plain <= 3 * PLAIN_RATE + 1000 / 32 * 2
+    trail = RequestTrail("bad")
+    trail.note(catalogue.ROUTE_SENT, target="t")
+    request_log.end(trail, catalogue.ROUTE_REFUSED, False, status=502)
+    assert [event.name for event, _ in written[plain:]] == [
+        "route_sent",
+        "route_refused",
+    ]
+    assert {fields["id"] for _, fields in written[plain:]} == {"bad"}
+
+
+def test_metrics_in_the_collectors_format():
+    metrics = Metrics()
+    metrics.count("requests", status=200)
+    metrics.count("requests", status=200)
+    for seconds in (0.004, 0.3, 100.0):
+        metrics.record("request_seconds", seconds)
+    families = {
+        family.name: family
+        for family in text_string_to_metric_families(metrics.format({"targets": 3}))
+    }
+    (counted,) = families["turmericrudder_requests"].samples
+    assert (counted.labels, counted.value) == ({"status": "200"}, 2.0)
+    assert families["turmericrudder_targets"].samples[0].value == 3
+    buckets = {
+        sample.labels["le"]: sample.value
+        for sample in families["turmericrudder_request_seconds"].samples
+        if "le" in sample.labels
+    }
+    assert (buckets["0.002"], buckets["0.005"], buckets["0.4"]) == (0, 1, 2)
+    assert (buckets["15"], buckets["+Inf"]) == (2, 3)
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -143,15 +143,15 @@
         """Return {series: value} of what is known besides the counters."""
         home, witness = self.operations.get_entry_counts()
         return {
-            "turmericrudder_revision": self.configurator.revision,
-            "turmericrudder_members": len(self.membership.view.get_live()),
-            "turmericrudder_in_flight": self.dispatcher.pool.get_in_flight(),
-            "turmericrudder_home_keys": home,
-            "turmericrudder_witness_keys": witness,
-            "turmericrudder_control_sent_bytes": self._channel.sent_bytes,
-            "turmericrudder_control_received_bytes": self._channel.received_bytes,
-            "turmericrudder_control_sent_messages": self._channel.sent_count,
-            "turmericrudder_store_calls": self._store.call_count,
+            "revision": self.configurator.revision,
+            "members": len(self.membership.view.get_live()),
+            "in_flight": self.dispatcher.pool.get_in_flight(),
+            "home_keys": home,
+            "witness_keys": witness,
+            "control_sent_bytes": self._channel.sent_bytes,
+            "control_received_bytes": self._channel.received_bytes,
+            "control_sent_messages": self._channel.sent_count,
+            "store_calls": self._store.call_count,
         }
 
     async def run(self):
--- a/turmericrudder/events/formatter.py
+++ b/turmericrudder/events/formatter.py
@@ -25,7 +25,8 @@
 
     def format(self, record):
         """Return the line of a record."""
-        line = {"time": record.created, "level": record.levelname}
+        when = getattr(record, "when", None) or record.created
+        line = {"time": round(when, 6), "level": record.levelname}
         event = getattr(record, "event", None)
         if event is None:
             line |= {"logger": record.name, "message": super().format(record)}
--- a/turmericrudder/gateway/__main__.py
+++ b/turmericrudder/gateway/__main__.py
@@ -9,10 +9,10 @@
 
 from ..events import set_up_logging
 from ..settings import read_gateway_settings
-from .instance import Gateway
+from .instance import run_gateway
 
 SETTINGS_VARIABLE = "TURMERICRUDDER_CONFIG"
 
-settings = read_gateway_settings(os.environ[SETTINGS_VARIABLE])
-set_up_logging(settings)
-anyio.run(Gateway(settings).run, backend_options={"use_uvloop": True})
+path = os.environ[SETTINGS_VARIABLE]
+set_up_logging(read_gateway_settings(path))
+anyio.run(run_gateway, path, backend_options={"use_uvloop": True})
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -9,6 +9,7 @@
 from .client_request import ClientRequest
 from .forwarder import Refusal
 from .outcome import Streaming, Whole
+from .request_log import RequestTrail
 
 __all__ = ["ClientApplication"]
 
@@ -44,16 +45,16 @@
         except RequestRefused as exc:
             await reply.refuse(Refusal(exc.status, exc.reason, exc.retry_after))
         except Interrupted:
-            reply.log(catalogue.ROUTE_CANCELLED, 0, "the client went away")
+            reply.end(catalogue.ROUTE_CANCELLED, 0, "the client went away")
         except LinkBroken as exc:
             # The head is out: only a cut tells the client that this is no answer.
-            reply.log(catalogue.ROUTE_CUT, 0, str(exc))
+            reply.end(catalogue.ROUTE_CUT, 0, str(exc))
             raise
 
     async def _take(self, scope, receive, reply):
         instance = self._instance
         now = anyio.current_time()
-        request = self._parse(scope, now)
+        request = self._parse(scope, now, reply.trail)
         reply.request = request
         if instance.refuses_new():
             raise RequestRefused(503, "stopping", retry_after=0.05)
@@ -72,7 +73,7 @@
             case Streaming():
                 await reply.pass_stream(answer)
 
-    def _parse(self, scope, now):
+    def _parse(self, scope, now, trail):
         instance = self._instance
         table = instance.route_table
         if table is None:
@@ -103,6 +104,7 @@
             arrived=now,
             expires=min(now + route.timeout, deadline),
             deadline=deadline,
+            trail=trail,
         )
 
 
@@ -178,7 +180,7 @@
 class _Reply:
     """The answer to one client, with its log line."""
 
-    __slots__ = ("_began", "_instance", "_scope", "_send", "request")
+    __slots__ = ("_began", "_instance", "_scope", "_send", "request", "trail")
 
     def __init__(self, scope, send, instance):
         self._scope = scope
@@ -186,6 +188,8 @@
         self._instance = instance
         self._began = anyio.current_time()
         self.request = None
+        found = dict(scope["headers"])
+        self.trail = RequestTrail(found.get(names.ATTEMPT_ID, b"").decode("latin-1"))
 
     async def pass_whole(self, answer):
         """Write a target's whole answer."""
@@ -194,7 +198,7 @@
             headers.append((b"content-length", b"%d" % len(answer.body)))
         await self._start(answer.status, headers)
         await self._write(answer.body, False)
-        self._count(answer.status)
+        self.end(catalogue.ROUTE_ANSWERED, answer.status)
 
     async def pass_stream(self, answer):
         """Write a target's answer while it arrives.
@@ -210,7 +214,7 @@
             await self._write(b"", False)
         finally:
             answer.link.close()
-        self._count(answer.status)
+        self.end(catalogue.ROUTE_ANSWERED, answer.status)
 
     async def refuse(self, refusal):
         """Write a refusal of our own."""
@@ -219,23 +223,41 @@
             headers.append((b"retry-after", b"%.3f" % refusal.retry_after))
         if refusal.status in (400, 408, 413, 431):
             headers.append((b"connection", b"close"))
-        self.log(catalogue.ROUTE_REFUSED, refusal.status, refusal.reason)
         await self._start(refusal.status, headers)
         await self._write(b"", False)
-        self._count(refusal.status)
+        self.end(
+            catalogue.ROUTE_REFUSED,
+            refusal.status,
+            refusal.reason,
+            retry_after_s=refusal.retry_after,
+        )
 
-    def log(self, event, status, reason):
-        """Write a line with the request's id."""
-        request = self.request
-        found = dict(self._scope["headers"])
-        self._instance.log.write(
+    def end(self, event, status, reason=None, **fields):
+        """Count the request and write its lines."""
+        request, instance = self.request, self._instance
+        seconds = anyio.current_time() - self._began
+        instance.metrics.record("request_seconds", seconds)
+        instance.metrics.count("requests", status=status, event=event.name)
+        if reason is not None:
+            instance.metrics.count("failures", status=status)
+        is_plain = (
+            status == 200
+            and request is not None
+            and seconds <= request.route.objective
+            and self.trail.count(catalogue.ROUTE_SENT) == 1
+        )
+        instance.request_log.end(
+            self.trail,
             event,
-            id=found.get(names.ATTEMPT_ID, b"").decode("latin-1"),
+            is_plain,
             status=status,
             reason=reason,
             route=request.route.name if request else None,
             service=request.service if request else None,
-            held_ms=round((anyio.current_time() - self._began) * MS_PER_SECOND, 1),
+            object_key=request.object_key if request else None,
+            version=instance.version,
+            ms=round(seconds * MS_PER_SECOND, 1),
+            **fields,
         )
 
     def _get_headers(self, headers):
@@ -253,11 +275,6 @@
             {"type": "http.response.body", "body": chunk, "more_body": more}
         )
 
-    def _count(self, status):
-        metrics = self._instance.metrics
-        metrics.record("request_seconds", anyio.current_time() - self._began)
-        metrics.count("requests", status=status)
-
 
 def _get_patience(found):
     """Return the seconds that the client waits, or ``None`` if it does not say."""
--- a/turmericrudder/gateway/client_request.py
+++ b/turmericrudder/gateway/client_request.py
@@ -4,6 +4,7 @@
 
 from ..platform import names
 from ..steering import Route
+from .request_log import RequestTrail
 
 __all__ = ["ClientRequest"]
 
@@ -37,6 +38,7 @@
     :param arrived: monotonic time of the head's arrival.
     :param expires: monotonic time by which a final answer must be given.
     :param deadline: monotonic time until which the client waits.
+    :param trail: collects the request's log lines.
     """
 
     method: str
@@ -49,6 +51,7 @@
     arrived: float
     expires: float
     deadline: float
+    trail: RequestTrail
     body: bytes | None = b""
     stream: object = None
     length: int | None = 0
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -43,20 +43,16 @@
         "_allowances",
         "_balancer",
         "_count_members",
-        "_log",
-        "_metrics",
         "_pool",
         "_settings",
         "_tickets",
     )
 
-    def __init__(self, settings, balancer, pool, count_members, log, metrics):
+    def __init__(self, settings, balancer, pool, count_members):
         self._settings = settings
         self._balancer = balancer
         self._pool = pool
         self._count_members = count_members
-        self._log = log
-        self._metrics = metrics
         self._allowances = {}
         self._tickets = itertools.count(1)
 
@@ -85,13 +81,6 @@
             outcome = await self._send(course, choice)
             if not course.may_go_on(outcome):
                 return course.finish(outcome, choice.expected)
-            self._log.write(
-                catalogue.ROUTE_RETRIED,
-                id=request.attempt_id.decode("latin-1"),
-                target=choice.record.endpoint.id,
-                outcome=type(outcome).__name__,
-                reason=getattr(outcome, "reason", None),
-            )
 
     def _choose(self, course, now):
         request = course.request
@@ -121,6 +110,7 @@
             link = await self._pool.take(record, round_trip, must_be_sound)
             now = anyio.current_time()
             course.note_sent()
+            _note_sent(request, choice, now, link.exchanges == 0)
             outcome = await self._exchange(request, record, link, now, choice)
         except LinkRefused as exc:
             record.block(anyio.current_time())
@@ -133,6 +123,7 @@
             record.end(ticket)
             if link is not None:
                 self._settle(record, link, outcome)
+            _note_ended(request, record, outcome)
         return outcome
 
     async def _exchange(self, request, record, link, began, choice):
@@ -254,6 +245,35 @@
         return self.request.route.is_idempotent and self.sends > 1
 
 
+def _note_sent(request, choice, now, is_new):
+    record = choice.record
+    request.trail.note(
+        catalogue.ROUTE_SENT,
+        target=record.endpoint.id,
+        service=request.service,
+        failure_domain=record.endpoint.failure_domain,
+        entry_revision=record.revision,
+        expected_ms=round(choice.expected * MS_PER_SECOND, 1),
+        work_ms=round(choice.work * MS_PER_SECOND, 1),
+        cost_ms=round(choice.cost * MS_PER_SECOND, 1),
+        object_age=choice.work_key,
+        occupancy=round(record.get_occupancy(now), 1),
+        load_age_ms=record.get_load_age_ms(now),
+        left_ms=round((request.expires - now) * MS_PER_SECOND),
+        new_connection=is_new,
+    )
+
+
+def _note_ended(request, record, outcome):
+    request.trail.note(
+        catalogue.ROUTE_ENDED,
+        target=record.endpoint.id,
+        outcome="Cancelled" if outcome is None else type(outcome).__name__,
+        status=getattr(outcome, "status", None),
+        reason=getattr(outcome, "reason", None),
+    )
+
+
 def _get_turned_away(status, headers):
     """Return the reason if the target says that it did not run the request."""
     if status == 421:
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ..errors import SettingsInvalid
 from ..events import EventLog, catalogue
 from ..metrics import Metrics
 from ..platform import MetadataStore
@@ -18,6 +19,7 @@
 from .listener import Listener
 from .registration import Registration
 from .registry import Registry
+from .request_log import RequestLog
 from .service_applications import (
     DirectoryApplication,
     MetricsApplication,
@@ -39,10 +41,17 @@
 class Gateway:
     """One instance: what it believes, and the parts that act on it."""
 
-    def __init__(self, settings):
+    def __init__(self, settings, settings_path=None):
+        """Prepare without opening a socket.
+
+        :param settings_path: file to read again when it changes.
+        """
         self.settings = settings
+        self._settings_path = settings_path
+        self._settings_stamp = _get_stamp(settings_path)
         self.log = EventLog(instance=settings.name)
         self.metrics = Metrics()
+        self.request_log = RequestLog(self.log)
         self.route_table = None
         self.is_stopping = False
         self.catalog = Catalog()
@@ -65,8 +74,6 @@
             self.balancer,
             self.pool,
             lambda: len(self.get_members()),
-            self.log,
-            self.metrics,
         )
         self.store = MetadataStore(settings.store)
         self.registry = Registry(self, self.store)
@@ -87,6 +94,12 @@
         table = self.route_table
         return table.configuration.limits if table is not None else None
 
+    @property
+    def version(self):
+        """Version of the configuration in force, or ``None``."""
+        table = self.route_table
+        return table.configuration.version if table is not None else None
+
     def is_ready(self):
         """Return whether clients should come here."""
         return not self.is_stopping and self.route_table is not None
@@ -129,10 +142,10 @@
     def format_metrics(self):
         """Return all series as text."""
         gauges = {
-            "turmericrudder_targets": len(self.catalog),
-            "turmericrudder_members": len(self.get_members()),
-            "turmericrudder_store_calls": self.store.call_count,
-            "turmericrudder_connections_opened": self.pool.opened,
+            "targets": len(self.catalog),
+            "members": len(self.get_members()),
+            "store_calls": self.store.call_count,
+            "connections_opened": self.pool.opened,
         }
         return self.metrics.format(gauges)
 
@@ -231,7 +244,7 @@
                 async for number in signals:
                     if number == signal.SIGTERM:
                         break
-                    self.log.write(catalogue.SETTINGS_RELOADED)
+                    self._reload()
                 await self._stop()
             tasks.cancel_scope.cancel()
 
@@ -245,6 +258,21 @@
             await anyio.sleep(TICK)
             self.pool.close_idle()
             self.registry.release_held()
+            if _get_stamp(self._settings_path) != self._settings_stamp:
+                self._reload()
+
+    def _reload(self):
+        """Read the settings again; a file that is refused changes nothing."""
+        self._settings_stamp = _get_stamp(self._settings_path)
+        try:
+            found = read_gateway_settings(self._settings_path)
+        except SettingsInvalid as exc:
+            self.log.write(catalogue.SETTINGS_REFUSED, reason=str(exc))
+            return
+        changed, waiting = self.settings.adopt(found)
+        self.log.write(
+            catalogue.SETTINGS_RELOADED, changed=changed, needs_restart=waiting
+        )
 
     async def _stop(self):
         self.is_stopping = True
@@ -268,5 +296,14 @@
 
 
 async def run_gateway(path):
-    """Run an instance with the settings file at ``path``."""
-    await Gateway(read_gateway_settings(path)).run()
+    """Run an instance with the settings file at ``path`` until it is stopped."""
+    await Gateway(read_gateway_settings(path), path).run()
+
+
+def _get_stamp(path):
+    """Return what tells one state of a file from the next, or ``None``."""
+    try:
+        found = os.stat(path)
+    except (OSError, TypeError):
+        return None
+    return found.st_mtime_ns, found.st_size, found.st_ino
--- a/turmericrudder/gateway/service_applications.py
+++ b/turmericrudder/gateway/service_applications.py
@@ -1,5 +1,7 @@
 """The small ASGI applications beside the clients' address."""
 
+import anyio
+
 from ..platform import decode_question, encode_answer, names
 from ..steering import choose_entries
 
@@ -22,14 +24,14 @@
 
     async def __call__(self, scope, receive, send):
         """Handle one HTTP request."""
-        status, kind, body = self.answer(scope["path"], scope["query_string"])
+        status, kind, body = await self.answer(scope["path"], scope["query_string"])
         headers = [(b"content-type", kind), (b"content-length", b"%d" % len(body))]
         await send(
             {"type": "http.response.start", "status": status, "headers": headers}
         )
         await send({"type": "http.response.body", "body": body})
 
-    def answer(self, path, query):
+    async def answer(self, path, query):
         """Return (status, content type, body)."""
         raise NotImplementedError
 
@@ -39,7 +41,7 @@
 
     __slots__ = ()
 
-    def answer(self, path, query):
+    async def answer(self, path, query):
         """Return (status, content type, body)."""
         if path != names.CALL_READY:
             return 404, b"text/plain", b""
@@ -51,7 +53,7 @@
 
     __slots__ = ()
 
-    def answer(self, path, query):
+    async def answer(self, path, query):
         """Return (status, content type, body)."""
         if path != names.CALL_RESOLVE:
             return 404, b"text/plain", b""
@@ -69,8 +71,10 @@
 
     __slots__ = ()
 
-    def answer(self, path, query):
+    async def answer(self, path, query):
         """Return (status, content type, body)."""
         if path != "/metrics":
             return 404, b"text/plain", b""
-        return 200, b"text/plain", self._instance.format_metrics().encode()
+        # In a thread: the first time, a library is loaded.
+        text = await anyio.to_thread.run_sync(self._instance.format_metrics)
+        return 200, b"text/plain; version=0.0.4", text.encode()
--- a/turmericrudder/settings/gateway.py
+++ b/turmericrudder/settings/gateway.py
@@ -10,10 +10,11 @@
 __all__ = ["GatewaySettings", "read_gateway_settings"]
 
 _SECTIONS = ("instance", "listen", "store", "regions", "bounds", "log")
+_LIVE_FIELDS = ("bounds", "regions", "seeds")
 _REQUIRED = ("instance", "listen", "store", "regions", "bounds")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class GatewaySettings:
     """Everything such an instance has to be told.
 
@@ -21,7 +22,7 @@
     checks, ``listen_directory`` questions of clients for entry instances and
     ``listen_peers`` questions of other instances. ``regions`` maps failure
     domains to regions. ``lease_min`` is the shortest lease in seconds that the
-    store grants.
+    store grants. A running instance takes over what :meth:`adopt` can change.
     """
 
     name: str
@@ -43,6 +44,21 @@
     def __repr__(self):
         return f"<GatewaySettings {self.name}>"
 
+    def adopt(self, other):
+        """Take over what may change while an instance runs.
+
+        :returns: (names of fields that changed, names that need a restart).
+        """
+        changed = [
+            name
+            for name in self.__slots__
+            if getattr(self, name) != getattr(other, name)
+        ]
+        live = [name for name in changed if name in _LIVE_FIELDS]
+        for name in live:
+            setattr(self, name, getattr(other, name))
+        return live, [name for name in changed if name not in _LIVE_FIELDS]
+
 
 def read_gateway_settings(path):
     """Return the settings in the INI file at ``path``.
--- a/turmericrudder/steering/catalog.py
+++ b/turmericrudder/steering/catalog.py
@@ -84,8 +84,9 @@
         self._revisions[endpoint.id] = revision
         self._removed.pop(endpoint.id, None)
         if record is None or not record.endpoint.is_same_start(endpoint):
-            self._add(endpoint, record, removed, now)
+            self._add(endpoint, revision, record, removed, now)
         else:
+            record.revision = revision
             self._update(record, endpoint, now)
         return True
 
@@ -127,8 +128,8 @@
                 self._cool(record, now, self._get_cold_start(record.endpoint))
         return True
 
-    def _add(self, endpoint, former, removed, now):
-        record = TargetRecord(endpoint)
+    def _add(self, endpoint, revision, former, removed, now):
+        record = TargetRecord(endpoint, revision)
         is_return = removed is not None and removed[0].is_same_start(endpoint)
         cold = endpoint.cold_left
         if self.has_settled and not is_return:
--- a/turmericrudder/steering/target_record.py
+++ b/turmericrudder/steering/target_record.py
@@ -18,7 +18,8 @@
 class TargetRecord:
     """Counts and estimates of one target.
 
-    ``cold_until`` is on the monotonic clock, ``round_trip`` in seconds.
+    ``revision`` is the store's revision of the registration, ``cold_until``
+    is on the monotonic clock, ``round_trip`` in seconds.
     """
 
     __slots__ = (
@@ -38,11 +39,13 @@
         "is_gone",
         "mean_work",
         "objects",
+        "revision",
         "round_trip",
     )
 
-    def __init__(self, endpoint):
+    def __init__(self, endpoint, revision=0):
         self.endpoint = endpoint
+        self.revision = revision
         self.cold_gate = ColdGate()
         self.cold_until = 0.0
         self.blocked_until = 0.0
@@ -87,6 +90,10 @@
         age = now - self._slowdown_at
         return 1.0 + (self._slowdown - 1.0) * 0.5 ** (age / SLOWDOWN_HALF_LIFE)
 
+    def get_load_age_ms(self, now):
+        """Return the age of the last load report, or ``None`` without one."""
+        return round((now - self._others_at) * 1000) if self._others_at else None
+
     def get_failure_share(self, now):
         """Return the share of requests that failed or were turned away."""
         age = now - self._failures_at
