Never call a request not run that ran; explain a request from log files

Ruled out: requests that are not idempotent (they got 502). Now the target's own failure is passed on, or 502 and 504 where a send may have run.

turmericrudder explain ID FILE... shows a request's lines with the news of its instances; turmericrudder platform shows what the store says.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -298,3 +298,19 @@
         assert rig.process.returncode == 0
         with pytest.raises(httpcore.ConnectError):
             await rig.ask()
+
+
+@pytest.mark.anyio
+async def test_request_that_ran_is_never_called_not_run(rig):
+    """The second target turns away what the first has failed."""
+    rig.targets[0].fault.status = 500
+    rig.targets[1].fault.shed = True
+    statuses = {(await rig.ask()).status for _ in range(8)}
+    assert 500 in statuses
+    ran = set(rig.get_runs())
+    rig.targets[0].fault.lose_answers = 8
+    for number in range(8):
+        answer = await rig.ask(attempt_id=f"lost{number}")
+        if answer.status == 503:
+            assert f"lost{number}" not in rig.get_runs()
+    assert ran and any(run.startswith("lost") for run in rig.get_runs())
--- a/turmericrudder/cli/app.py
+++ b/turmericrudder/cli/app.py
@@ -7,8 +7,9 @@
 
 from ..errors import SteeringError
 from ..settings import read_entry_settings
-from . import config, operate
+from . import config, operate, platform
 from .exits import get_exit_code
+from .explain import explain
 
 __all__ = ["app", "main"]
 
@@ -18,6 +19,8 @@
     no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False
 )
 app.add_typer(config.app, name="config")
+app.add_typer(platform.app, name="platform")
+app.command()(explain)
 operate.register(app)
 
 
--- /dev/null
+++ b/turmericrudder/cli/explain.py
@@ -0,0 +1,56 @@
+"""The command that explains one request from log files."""
+
+import sys
+from pathlib import Path
+
+import msgspec
+import typer
+
+from ..events import Trace, read_log
+
+__all__ = ["explain"]
+
+NOT_FOUND = 1  # exit code if no line has the id
+
+
+def explain(
+    request_id: str = typer.Argument(..., help="The X-Attempt-Id of the request"),
+    files: list[Path] = typer.Argument(
+        ..., help="Log files of entry instances", exists=True, dir_okay=False
+    ),
+    as_json: bool = typer.Option(False, "--json", help="Print JSON, for programs"),
+) -> None:
+    """Show what happened to one request, and the news that it met."""
+    trace = Trace(request_id, read_log(files))
+    if as_json:
+        document = {
+            "conclusion": trace.get_conclusion(),
+            "lines": trace.lines,
+            "news": trace.news,
+        }
+        typer.echo(msgspec.json.encode(document).decode())
+    else:
+        for line in _format(trace):
+            typer.echo(line)
+    if not trace.lines:
+        sys.exit(NOT_FOUND)
+
+
+def _format(trace):
+    if trace.lines:
+        start = trace.lines[0].time
+        if trace.news:
+            yield "news of its instances before and while it ran:"
+        for line in trace.news:
+            yield _format_line(line, start)
+        yield "the request:"
+        for line in trace.lines:
+            yield _format_line(line, start)
+    yield trace.get_conclusion()
+
+
+def _format_line(line, start):
+    fields = " ".join(
+        f"{key}={value}" for key, value in line.fields.items() if value is not None
+    )
+    return f"  {line.time - start:+9.3f} s  {line.instance:<24}{line.name:<20}{fields}"
--- /dev/null
+++ b/turmericrudder/cli/platform.py
@@ -0,0 +1,190 @@
+"""Commands that show what the platform's store says, as instances read it."""
+
+import anyio
+import msgspec
+import typer
+
+from ..address import Address
+from ..errors import EntryInvalid
+from ..platform import (
+    MetadataStore,
+    decode_configuration,
+    decode_endpoint,
+    decode_member,
+    names,
+)
+from ..settings import read_gateway_settings
+from ..steering import Catalog
+
+__all__ = ["app"]
+
+app = typer.Typer(no_args_is_help=True, help="Show what the platform's store says.")
+
+_STORE = typer.Option(..., "--store", help="IP:PORT of the platform's store")
+_JSON = typer.Option(False, "--json", help="Print JSON, for programs")
+
+
+@app.command()
+def check(settings: str) -> None:
+    """Check the settings file of an entry instance."""
+    found = read_gateway_settings(settings)
+    typer.echo(f"{settings}: {found.name} in {found.failure_domain}, no error")
+
+
+@app.command()
+def configuration(store: str = _STORE, as_json: bool = _JSON) -> None:
+    """Show the operator's newest configuration: routes, services, limits."""
+    item = anyio.run(_get, store, names.CONFIGURATION_KEY)
+    if item is None:
+        typer.echo("no configuration")
+        raise typer.Exit(1)
+    found = decode_configuration(item.value)
+    if as_json:
+        typer.echo(msgspec.json.encode(found, enc_hook=_encode).decode())
+        return
+    typer.echo(f"version {found.version}, revision {item.revision}")
+    typer.echo(
+        f"{'ROUTE':<14}{'HOST':<20}{'PREFIX':<26}{'KIND':<16}{'TIMEOUT':>9}"
+        f"{'OBJECTIVE':>11}  BACKENDS"
+    )
+    for route in found.routes:
+        backends = ", ".join(f"{b.service} {b.weight:g}" for b in route.backends)
+        typer.echo(
+            f"{route.name:<14}{route.host:<20}{route.prefix:<26}"
+            f"{route.kind.value:<16}{route.timeout:>8.2f}s{route.objective:>10.2f}s"
+            f"  {backends}"
+        )
+
+
+@app.command()
+def targets(store: str = _STORE, as_json: bool = _JSON) -> None:
+    """Show targets and why each one is used or not."""
+    rows = anyio.run(_get_targets, store)
+    if as_json:
+        typer.echo(msgspec.json.encode(rows).decode())
+        return
+    typer.echo(f"{'TARGET':<16}{'SERVICE':<16}{'DOMAIN':<22}{'SLOTS':>5}  USE")
+    for row in rows:
+        typer.echo(
+            f"{row['target']:<16}{row.get('service', ''):<16}"
+            f"{row.get('failure_domain', ''):<22}{row.get('slots', ''):>5}  "
+            f"{row['use']}"
+        )
+
+
+@app.command()
+def members(store: str = _STORE, as_json: bool = _JSON) -> None:
+    """Show the entry instances that are registered."""
+    rows = anyio.run(_get_members, store)
+    if as_json:
+        typer.echo(msgspec.json.encode(rows).decode())
+        return
+    typer.echo(f"{'INSTANCE':<28}{'ADDRESS':<24}{'DOMAIN':<22}REVISION")
+    for row in rows:
+        typer.echo(
+            f"{row['name']:<28}{row.get('address', ''):<24}"
+            f"{row.get('failure_domain', row.get('error', '')):<22}{row['revision']}"
+        )
+
+
+@app.command()
+def evacuations(store: str = _STORE, as_json: bool = _JSON) -> None:
+    """Show the failure domains that get no new work."""
+    items = anyio.run(_get_range, store, names.EVACUATION_PREFIX)
+    found = [item.key[len(names.EVACUATION_PREFIX) :] for item in items]
+    if as_json:
+        typer.echo(msgspec.json.encode(found).decode())
+        return
+    for name in found:
+        typer.echo(name)
+
+
+async def _get(address, key):
+    store = MetadataStore(Address.parse(address))
+    try:
+        return await store.get(key)
+    finally:
+        await store.aclose()
+
+
+async def _get_range(address, prefix):
+    store = MetadataStore(Address.parse(address))
+    items, after = [], ""
+    try:
+        while True:
+            page = await store.get_range(prefix, after)
+            items += page.items
+            if not page.has_more or not page.items:
+                return items
+            after = page.items[-1].key
+    finally:
+        await store.aclose()
+
+
+async def _get_targets(address):
+    catalog = Catalog()
+    for item in await _get_range(address, names.EVACUATION_PREFIX):
+        catalog.evacuate(item.key[len(names.EVACUATION_PREFIX) :])
+    configured = await _get(address, names.CONFIGURATION_KEY)
+    if configured is not None:
+        catalog.set_profiles(decode_configuration(configured.value).services)
+    rows = []
+    for item in await _get_range(address, names.TARGET_PREFIX):
+        name = item.key[len(names.TARGET_PREFIX) :]
+        try:
+            endpoint = decode_endpoint(item.key, item.value)
+        except EntryInvalid as exc:
+            rows.append({"target": name, "use": f"no: {exc}"})
+            continue
+        rows.append(
+            {
+                "target": name,
+                "service": endpoint.service,
+                "failure_domain": endpoint.failure_domain,
+                "address": str(endpoint.address),
+                "slots": endpoint.slots,
+                "revision": item.revision,
+                "use": _describe_use(endpoint, catalog),
+            }
+        )
+    return rows
+
+
+def _describe_use(endpoint, catalog):
+    if endpoint.is_draining:
+        return "no: draining"
+    if endpoint.failure_domain in catalog.get_evacuated():
+        return "no: its failure domain is evacuated"
+    if catalog.get_profile(endpoint.service) is None:
+        return "no: the configuration has no such service"
+    if endpoint.cold_left:
+        return f"little: cold for {endpoint.cold_left:g} s from its entry"
+    return "yes"
+
+
+async def _get_members(address):
+    rows = []
+    for item in await _get_range(address, names.MEMBER_PREFIX):
+        name = item.key[len(names.MEMBER_PREFIX) :]
+        row = {"name": name, "revision": item.revision}
+        try:
+            member = decode_member(item.key, item.value)
+        except EntryInvalid as exc:
+            rows.append(row | {"error": str(exc)})
+            continue
+        rows.append(
+            row
+            | {
+                "address": str(member.address),
+                "failure_domain": member.failure_domain,
+                "region": member.region,
+                "nonce": member.nonce,
+            }
+        )
+    return rows
+
+
+def _encode(value):
+    if isinstance(value, frozenset):
+        return sorted(value)
+    raise TypeError(type(value).__name__)
--- a/turmericrudder/events/__init__.py
+++ b/turmericrudder/events/__init__.py
@@ -5,13 +5,17 @@
 from .event import Event
 from .formatter import JsonFormatter, PlainFormatter
 from .log import EventLog, set_up_logging
+from .trace import LogLine, Trace, read_log
 
 __all__ = [
     "Event",
     "EventLog",
     "JsonFormatter",
+    "LogLine",
     "PlainFormatter",
+    "Trace",
     "catalogue",
     "iter_events",
+    "read_log",
     "set_up_logging",
 ]
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -61,9 +61,7 @@
         course = _Course(request)
         with anyio.move_on_at(request.expires):
             return await self._send_until_final(course)
-        if course.may_have_run:
-            return Refusal(504, "timeout")
-        return Refusal(503, "timeout", RETRY_AFTER_MIN)
+        return course.time_out()
 
     async def _send_until_final(self, course):
         request = course.request
@@ -191,7 +189,15 @@
 class _Course:
     """What happened to a request so far."""
 
-    __slots__ = ("connects", "may_have_run", "request", "sends", "tried")
+    __slots__ = (
+        "_failure",
+        "_ran_before",
+        "connects",
+        "may_have_run",
+        "request",
+        "sends",
+        "tried",
+    )
 
     def __init__(self, request):
         self.request = request
@@ -199,10 +205,13 @@
         self.connects = 0
         self.may_have_run = False
         self.tried = set()
+        self._ran_before = False
+        self._failure = None
 
     def note_sent(self):
         """Note that bytes of the request leave for a target."""
         self.sends += 1
+        self._ran_before = self.may_have_run
         self.may_have_run = True
 
     def may_go_on(self, outcome):
@@ -213,9 +222,11 @@
                 self.connects += 1
                 return self.connects < MAX_CONNECTS
             case TurnedAway():
-                self.may_have_run = self.may_have_run and self._ran_before()
+                self.may_have_run = self._ran_before
             case Whole(status) if status < 500:
                 return False
+            case Whole():
+                self._failure = outcome
             case Streaming():
                 return False
             case _ if not route.is_idempotent:
@@ -233,17 +244,23 @@
             case Broken(reason):
                 return Refusal(502, reason)
 
+    def time_out(self):
+        """Return the answer at the end of the time that there was."""
+        if self._failure is not None:
+            return self._failure
+        if self.may_have_run:
+            return Refusal(504, "timeout")
+        return Refusal(503, "timeout", RETRY_AFTER_MIN)
+
     def give_up(self, reason, retry_after):
-        """Return a refusal that tells the truth about earlier sends."""
-        if self.may_have_run and not self.request.route.is_idempotent:
+        """Return the answer that tells the truth about earlier sends."""
+        if self._failure is not None:
+            return self._failure
+        if self.may_have_run:
             return Refusal(502, reason)
         retry_after = max(RETRY_AFTER_MIN, retry_after)
         return Refusal(503, reason, retry_after)
 
-    def _ran_before(self):
-        # Only idempotent requests are sent again after they may have run.
-        return self.request.route.is_idempotent and self.sends > 1
-
 
 def _note_sent(request, choice, now, is_new):
     record = choice.record
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -235,7 +235,7 @@
                     await listener.open()
                 self.log.write(
                     catalogue.INSTANCE_STARTED,
-                    address=self.settings.listen_clients,
+                    address=str(self.settings.listen_clients),
                     nonce=self.member.nonce,
                 )
                 tasks.start_soon(self.registry.run)
