Make the failure of a request that must not repeat final again

The new test failed before; the earlier tests had unsafe requests with lost answers only, none with a target's own 500.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -314,3 +314,15 @@
         if answer.status == 503:
             assert f"lost{number}" not in rig.get_runs()
     assert ran and any(run.startswith("lost") for run in rig.get_runs())
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("method_path", [("POST", "/write/x"), ("GET", "/write/x")])
+async def test_failure_of_a_request_that_must_not_repeat_is_final(rig, method_path):
+    for target in rig.targets:
+        target.fault.status = 500
+    method, path = method_path
+    answer = await rig.ask(path, method, attempt_id="only")
+    assert answer.status == 500
+    assert get_header(answer, names.SIGNATURE) == b"signed"
+    assert rig.get_runs() == ["only"]
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -225,12 +225,13 @@
                 self.may_have_run = self._ran_before
             case Whole(status) if status < 500:
                 return False
-            case Whole():
-                self._failure = outcome
             case Streaming():
                 return False
-            case _ if not route.is_idempotent:
-                return False
+            case Whole() | Broken():
+                if not route.is_idempotent:
+                    return False
+                if isinstance(outcome, Whole):
+                    self._failure = outcome
         has_body = self.request.body is not None
         return has_body and self.sends < route.max_attempts
 
