Let whole objects of a small region live in another one, by a plan

Now a share of the objects, by hash, has its side elsewhere; the share follows from arrivals, slots and members alone, the same at all instances.

Ruled out by the trials before: a region's crowd in the price of its targets (warm work became dearer than cold work elsewhere).

--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -86,7 +86,7 @@
     for number, endpoint in enumerate(endpoints):
         catalog.put(endpoint, number + 1, 0.0)
     balancer = Balancer(
-        SETTINGS, catalog, lambda _: feeds_cold, lambda: 1, random.Random(1)
+        SETTINGS, catalog, lambda _: feeds_cold, lambda: (1, 1, 1), random.Random(1)
     )
     return catalog, balancer
 
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -61,7 +61,7 @@
         self._stop_began = None
         self._last_request = 0.0
         self._members = {}
-        self._neighbours = 1
+        self._member_counts = (1, 1, 1)
         self._reader = None
         self._splits = {}
         self._random = random.Random(settings.name)
@@ -77,7 +77,7 @@
             settings,
             self.catalog,
             self.feeds_cold,
-            self._count_neighbours,
+            lambda: self._member_counts,
             self._random,
         )
         self.pool = LinkPool()
@@ -142,17 +142,19 @@
         return None if self.is_reader() else self._reader.peer_address
 
     def _note_members(self):
-        """Choose the region's reader anew."""
-        region = self.settings.region
-        near = [m for m in self.get_members() if m.region == region]
-        self._neighbours = max(1, len(near))
+        """Count the members and choose the region's reader anew."""
+        region, domain = self.settings.region, self.settings.failure_domain
+        members = self.get_members()
+        near = [m for m in members if m.region == region]
+        self._member_counts = (
+            sum(m.failure_domain == domain for m in near),
+            len({m.failure_domain for m in near}),
+            len({m.failure_domain for m in members}),
+        )
         self._reader = max(
             near, key=lambda m: get_score(READER_DUTY, m.name), default=None
         )
 
-    def _count_neighbours(self):
-        return self._neighbours
-
     def get_peer_addresses(self):
         """Return the addresses of other instances, near ones if there are any."""
         others = [m for m in self.get_members() if m.name != self.settings.name]
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..rendezvous import get_score
-from .demand import Demand
+from ..rendezvous import get_score, get_uniform
+from .region_plan import RegionPlan, Surroundings
 from .region_shift import RegionShift
 from .target_record import TargetRecord
 from .work_estimate import FIRST, OTHER, WorkEstimate
@@ -21,12 +21,16 @@
 PRIOR_NEAR = 0.001  # seconds, within a region
 PRIOR_FAR = 0.06  # seconds, between regions
 JITTER = 0.02  # of the cost, so that instances with equal views differ
+SIDE = ""  # the key of an object's side among its scores; no target has this id
 MAX_OBJECTS = 4096  # objects whose order of targets is remembered
 PLACE_WEIGHT = 0.1  # of the cost, for each place further down an object's order
 MAX_PLACE = 5  # places after which further ones cost no more
 LATENESS_SPREAD = 0.25  # of the expected time; how far answers scatter around it
 COLD_SLOWDOWN = 2.0  # how much longer work is taken to last at a cold target
 MAX_CROWD = 2.0  # requests for each slot beyond which more make no difference
+# Of the time that an object takes longer at a target that does not know it: the
+# price of a target on the side that is not the object's.
+SIDE_WEIGHT = 0.5
 CROWD_WEIGHT = 1.0  # what a busy service adds to the price of its targets' time
 
 
@@ -93,30 +97,30 @@
 
     :param feeds_cold: function of a target's id that returns whether this
         instance is the one that sends to it while it is cold.
-    :param count_neighbours: function that returns the number of live instances
-        in this one's region.
+    :param count_members: function that returns (instances in this one's failure
+        domain, failure domains of its region with instances, all such domains).
     """
 
     __slots__ = (
         "_catalog",
-        "_count_neighbours",
-        "_demands",
+        "_count_members",
         "_estimates",
         "_feeds_cold",
+        "_plans",
         "_random",
         "_scores",
         "_settings",
         "_shift",
     )
 
-    def __init__(self, settings, catalog, feeds_cold, count_neighbours, random):
+    def __init__(self, settings, catalog, feeds_cold, count_members, random):
         self._settings = settings
         self._catalog = catalog
         self._feeds_cold = feeds_cold
-        self._count_neighbours = count_neighbours
+        self._count_members = count_members
         self._random = random
         self._estimates = {}
-        self._demands = {}
+        self._plans = {}
         self._scores = {}
         self._shift = RegionShift(settings.bounds.max_shift)
 
@@ -153,11 +157,6 @@
             record.cold_gate.note(now)
         if query.object_key is not None:
             record.objects.note((query.route.name, query.object_key))
-        if not chosen.is_away:
-            demand = self._demands.get(query.service)
-            if demand is None:
-                demand = self._demands[query.service] = Demand()
-            demand.note(chosen.work, now)
         self._shift.note(chosen.is_away, now)
 
     def get_round_trip(self, record):
@@ -185,12 +184,12 @@
 
     def _get_cheapest(self, query, records, now):
         places = self._get_places(query, records)
-        crowds = self._get_crowds(query.service, records, now)
+        crowd = self._get_crowd(records, now)
+        goes_away = self._goes_away(query, records, now)
         estimate = self.get_estimate(query.route)
         best_away = best_at_home = None
         for record in records:
-            crowd = crowds[self._get_region(record)]
-            chosen = self._weigh(query, record, places, crowd, estimate, now)
+            chosen = self._weigh(query, record, places, crowd, goes_away, estimate, now)
             if chosen.is_away:
                 if best_away is None or chosen.cost < best_away.cost:
                     best_away = chosen
@@ -202,7 +201,7 @@
             return best_away if self._shift.may_leave(now) else best_at_home
         return best_at_home if self._shift.may_stay(now) else best_away
 
-    def _weigh(self, query, record, places, crowd, estimate, now):
+    def _weigh(self, query, record, places, crowd, goes_away, estimate, now):
         place = places.get(record.endpoint.id, 0)
         key = self._get_work_key(query, record, place)
         slots = record.endpoint.slots
@@ -216,7 +215,9 @@
         if surplus > 0:
             wait = surplus * (record.mean_work or work) / slots
         expected = round_trip + wait + work
-        cost = expected + crowd * CROWD_WEIGHT * work
+        cost = expected + CROWD_WEIGHT * crowd**2 * work
+        if self._is_away(record) is not goes_away:
+            cost += SIDE_WEIGHT * (estimate.get(OTHER) - estimate.get_seen())
         cost += self._get_lateness(query, expected, now)
         cost += record.get_failure_share(now) * query.route.objective
         cost += record.get_stall(now, work)
@@ -286,27 +287,40 @@
                 del self._scores[next(iter(self._scores))]
         return scores
 
-    def _get_crowds(self, service, records, now):
-        """Return {region: how busy its targets are, squared}.
+    def _goes_away(self, query, records, now):
+        """Return whether the object's side is another region."""
+        plan = self._plans.get(query.service)
+        if plan is None:
+            plan = self._plans[query.service] = RegionPlan()
+        if not query.tried:
+            plan.note(self.get_estimate(query.route).get_seen(), now)
+        share = plan.get_share(self._look_around(records), now)
+        if share <= 0.0:
+            return False
+        if query.object_key is None:
+            return self._random.random() < share
+        scores = self._get_scores(query)
+        if SIDE not in scores:
+            scores[SIDE] = get_uniform(f"{query.route.name}/{query.object_key}", SIDE)
+        return scores[SIDE] < share
 
-        The own region's is what this instance sends there, times the instances
-        that do the same, if that is more: queues show it only later.
-        """
-        sums = {}
+    def _look_around(self, records):
+        here = everywhere = 0
         for record in records:
-            total = sums.setdefault(self._get_region(record), [0.0, 0])
-            slots = record.endpoint.slots
-            total[0] += min(record.get_occupancy(now), MAX_CROWD * slots)
-            total[1] += slots
-        here = sums.get(self._settings.region)
-        if here is not None:
-            demand = self._demands.get(service)
-            if demand is not None:
-                here[0] = max(here[0], demand.get(now) * self._count_neighbours())
-        return {
-            region: min(MAX_CROWD, occupied / slots) ** 2
-            for region, (occupied, slots) in sums.items()
-        }
+            everywhere += record.endpoint.slots
+            if not self._is_away(record):
+                here += record.endpoint.slots
+        return Surroundings(here, everywhere, *self._count_members())
+
+    def _get_crowd(self, records, now):
+        """Return the requests for each slot of the region's targets."""
+        slots = occupied = 0.0
+        for record in records:
+            if not self._is_away(record):
+                slots += record.endpoint.slots
+                most = MAX_CROWD * record.endpoint.slots
+                occupied += min(record.get_occupancy(now), most)
+        return occupied / slots if slots else 1.0
 
     def _get_region(self, record):
         return self._settings.regions.get(record.endpoint.failure_domain)
--- a/turmericrudder/steering/work_estimate.py
+++ b/turmericrudder/steering/work_estimate.py
@@ -35,10 +35,10 @@
         if value is not None and value[1] >= MIN_SAMPLES:
             return value[0]
         if key == FIRST:
-            return PRIOR_FIRST * self._get_seen()
+            return PRIOR_FIRST * self.get_seen()
         if key == OTHER:
-            return PRIOR_OTHER * self._get_seen()
-        return self._get_seen()
+            return PRIOR_OTHER * self.get_seen()
+        return self.get_seen()
 
     def note(self, key, seconds):
         """Take the work of one answer, freed of what slowed its target."""
@@ -50,7 +50,8 @@
         weight = max(WEIGHT, 1.0 / value[1])
         value[0] += weight * (seconds - value[0])
 
-    def _get_seen(self):
+    def get_seen(self):
+        """Return the expected seconds for an object that was handled lately."""
         seen = [
             value
             for key, value in self._values.items()
