Plan a region's share from the first request on; count its steps by credit

Now each request earns the part of a departure that is allowed. The plan holds from the first request: until arrivals have been counted for a second, all regions are taken to be equally full.

--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -157,6 +157,8 @@
             record.cold_gate.note(now)
         if query.object_key is not None:
             record.objects.note((query.route.name, query.object_key))
+        if not query.tried:
+            self._plans[query.service].note(chosen.work, now)
         self._shift.note(chosen.is_away, now)
 
     def get_round_trip(self, record):
@@ -292,8 +294,6 @@
         plan = self._plans.get(query.service)
         if plan is None:
             plan = self._plans[query.service] = RegionPlan()
-        if not query.tried:
-            plan.note(self.get_estimate(query.route).get_seen(), now)
         share = plan.get_share(self._look_around(records), now)
         if share <= 0.0:
             return False
--- a/turmericrudder/steering/region_plan.py
+++ b/turmericrudder/steering/region_plan.py
@@ -11,10 +11,10 @@
 __all__ = ["RegionPlan", "Surroundings"]
 
 MEMORY = 2.0  # seconds over which arrivals are counted
-MIN_MEMORY = 0.3  # seconds of arrivals before the first plan
+MIN_MEMORY = 1.0  # seconds of arrivals before they count
 # Share of a region's slots up to which it keeps all that comes to it: queues
 # are short until then.
-COMFORT = 0.6
+COMFORT = 0.45
 MAX_AWAY = 0.9  # a region keeps some objects, or its targets would forget all
 STEP_PER_SECOND = 0.04  # change of the plan, well within the bounds on shifts
 
@@ -60,9 +60,11 @@
         self._at = now
 
     def get_share(self, around, now):
-        """Return the share of objects that should be served elsewhere."""
-        if self._began is None or now - self._began < MIN_MEMORY:
-            return 0.0
+        """Return the share of objects that should be served elsewhere.
+
+        Until arrivals have been counted for a while, every region is taken to
+        be as full as all together.
+        """
         wanted = self._get_wanted(around, now)
         if self._planned_at is None:
             self._share = wanted
@@ -78,15 +80,24 @@
             return 0.0
         if around.here_slots <= 0:
             return 1.0
-        seconds = min(MEMORY, now - self._began)
-        rate = self._decay(now) / (MEMORY * (1 - math.exp(-seconds / MEMORY)))
-        domain = rate * max(1, around.peers)
-        here = domain * max(1, around.here_domains) / around.here_slots
-        everywhere = domain * max(1, around.all_domains) / around.all_slots
-        if here <= 0:
-            return 0.0
-        wanted = 1.0 - max(COMFORT, everywhere) / here
+        here = max(1, around.here_domains) / around.here_slots
+        everywhere = max(1, around.all_domains) / around.all_slots
+        load = self._get_load(around, now)
+        if load is None:
+            wanted = 1.0 - everywhere / here
+        elif load > 0.0:
+            wanted = 1.0 - max(COMFORT, load * everywhere) / (load * here)
+        else:
+            wanted = 0.0
         return min(MAX_AWAY, max(0.0, wanted))
 
+    def _get_load(self, around, now):
+        """Return the target-seconds a second of a failure domain, if known."""
+        if self._began is None or now - self._began < MIN_MEMORY:
+            return None
+        seconds = now - self._began
+        rate = self._decay(now) / (MEMORY * (1 - math.exp(-seconds / MEMORY)))
+        return rate * max(1, around.peers)
+
     def _decay(self, now):
         return self._work * math.exp((self._at - now) / MEMORY)
--- a/turmericrudder/steering/region_shift.py
+++ b/turmericrudder/steering/region_shift.py
@@ -4,17 +4,27 @@
 
 WINDOW = 2.0  # seconds; the unit in which a change of the share is judged
 SAFETY = 0.6  # part of the bound that is used; windows of others overlap ours
-MIN_REQUESTS = 20  # requests in a window before a share means something
+MIN_REQUESTS = 8  # requests before a share means something; fewer wait for more
+MAX_CREDIT = 2.0  # requests that may leave, or stay, at once beyond their share
 
 
 class RegionShift:
     """The share of one instance's requests that run in another region.
 
     It changes by a part of the bound at most from one window to the next. The
-    first window with enough requests is free, for nothing came before it.
+    first window with enough requests is free, for nothing came before it. Each
+    request earns the part of a departure, and of a stay, that is allowed.
     """
 
-    __slots__ = ("_away", "_began", "_last_share", "_step", "_total")
+    __slots__ = (
+        "_away",
+        "_began",
+        "_leave_credit",
+        "_share",
+        "_stay_credit",
+        "_step",
+        "_total",
+    )
 
     def __init__(self, most):
         """Start without any request.
@@ -24,37 +34,40 @@
         self._step = SAFETY * most
         self._began = None
         self._total = self._away = 0
-        self._last_share = None
+        self._share = None
+        self._leave_credit = self._stay_credit = MAX_CREDIT
 
     def may_leave(self, now):
         """Return whether one more request may run in another region."""
         self._turn(now)
-        if self._last_share is None:
-            return True
-        limit = self._last_share + self._step
-        return self._away + 1 <= limit * max(self._total + 1, MIN_REQUESTS)
+        return self._share is None or self._leave_credit >= 1.0
 
     def may_stay(self, now):
         """Return whether one more request may run in its own region."""
         self._turn(now)
-        if self._last_share is None:
-            return True
-        home = self._total - self._away
-        limit = 1.0 - self._last_share + self._step
-        return home + 1 <= limit * max(self._total + 1, MIN_REQUESTS)
+        return self._share is None or self._stay_credit >= 1.0
 
     def note(self, is_away, now):
         """Count a request that is sent."""
         self._turn(now)
         self._total += 1
         self._away += is_away
+        if self._share is None:
+            return
+        leave = min(1.0, self._share + self._step)
+        stay = min(1.0, 1.0 - self._share + self._step)
+        self._leave_credit = min(
+            MAX_CREDIT, self._leave_credit + leave - (1.0 if is_away else 0.0)
+        )
+        self._stay_credit = min(
+            MAX_CREDIT, self._stay_credit + stay - (0.0 if is_away else 1.0)
+        )
 
     def _turn(self, now):
         if self._began is None:
             self._began = now
-        if now - self._began < WINDOW:
+        if now - self._began < WINDOW or self._total < MIN_REQUESTS:
             return
-        if self._total >= MIN_REQUESTS:
-            self._last_share = self._away / self._total
+        self._share = self._away / self._total
         self._began = now
         self._total = self._away = 0
