Keep objects to their order also where targets know them

Cause: an object that two targets had handled went to whichever was idler, so each target had to remember the objects of others. The place in the object's order now counts for every target, 15% of the cost a place.

--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -23,7 +23,7 @@
 JITTER = 0.02  # of the cost, so that instances with equal views differ
 SIDE = ""  # the key of an object's side among its scores; no target has this id
 MAX_OBJECTS = 4096  # objects whose order of targets is remembered
-PLACE_WEIGHT = 0.1  # of the cost, for each place further down an object's order
+PLACE_WEIGHT = 0.15  # of the cost, for each place further down an object's order
 MAX_PLACE = 5  # places after which further ones cost no more
 LATENESS_SPREAD = 0.25  # of the expected time; how far answers scatter around it
 COLD_SLOWDOWN = 2.0  # how much longer work is taken to last at a cold target
@@ -223,7 +223,7 @@
         cost += self._get_lateness(query, expected, now)
         cost += record.get_failure_share(now) * query.route.objective
         cost += record.get_stall(now, work)
-        if key in (FIRST, OTHER):
+        if query.object_key is not None:
             cost *= 1.0 + PLACE_WEIGHT * min(place, MAX_PLACE)
         cost *= 1.0 + JITTER * self._random.random()
         return Chosen(
