Issue operation keys only of incarnations that live on

Look-up answers carried the prefix that was last heard of the first entry; once that entry had restarted it was live again in the view, and the heartbeat of its former incarnation was still the last one. And a leaving instance went on to answer look-ups, with its own prefix where it hears no heartbeat of the first entry; callers keep an answer longer than the instance stays.

Ruled out: requests without a key (0 of 20,000), cut or wrong answers (0).

Now a prefix counts only if the heartbeat's incarnation is the live one, and a leaving instance refuses look-ups, so that the caller asks the next. Both tests failed before.

--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -34,6 +34,7 @@
         log=EventLog(),
         metrics=Metrics(),
         is_closed=lambda: closed,
+        is_leaving=lambda: closed,
         count_open=contextlib.nullcontext,
     )
 
@@ -83,3 +84,12 @@
     assert await ask(application, "/orders/1", KEY) == "not_run"
     wrong = (b"turmericrudder-peer-key", b"guess")
     assert await ask(application, "/status", wrong) == "not_run"
+
+
+@pytest.mark.anyio
+async def test_leaving_instance_answers_no_look_up():
+    """Its answer would be kept, and its prefix used, after its end."""
+    instance = make_instance(closed=True)
+    instance.planner = SimpleNamespace(get_answer=lambda service, client: b"{}")
+    application = CallerApplication(instance)
+    assert await ask(application, "/lookup") == "not_run"
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 from turmericrudder.control import Envelope, Heartbeat
 from turmericrudder.daemon.membership import Membership
 from turmericrudder.events import EventLog
+from turmericrudder.lookup import get_issued_prefixes
 from turmericrudder.membership import Member, Status
 from turmericrudder.settings import TimingSettings
 
@@ -160,3 +161,17 @@
     network.run(4 * STEP)
     for name in network.nodes:
         assert "d5n3" not in network.get_live(name)
+
+
+def test_prefix_of_an_ended_incarnation_is_not_issued():
+    """An instance that was restarted is live before its first heartbeat comes."""
+    members = [
+        SimpleNamespace(name="a", incarnation=2),
+        SimpleNamespace(name="b", incarnation=1),
+    ]
+    heard = {
+        "a": SimpleNamespace(incarnation=1, prefix="old"),
+        "b": SimpleNamespace(incarnation=1, prefix="b1"),
+        "gone": SimpleNamespace(incarnation=1, prefix="g1"),
+    }
+    assert get_issued_prefixes(members, heard) == {"b": "b1"}
--- a/turmericrudder/daemon/application.py
+++ b/turmericrudder/daemon/application.py
@@ -82,6 +82,10 @@
         service = query.get("service", "")
         client = query.get("client") or scope["client"][0]
         instance = self._instance
+        if instance.is_leaving():
+            # An answer is kept for a while, and keys of its prefix would come
+            # after the end of this incarnation, which alone can run them.
+            raise RequestRefused(503, "leaving", retry_after=RETRY_AFTER)
         try:
             answer = instance.planner.get_answer(service, client)
         except ConfigurationMissing as exc:
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -25,7 +25,7 @@
 from ..forwarding.dispatcher import Handover as HandoverWord
 from ..forwarding.dispatcher import SetOwned
 from ..interrupt import Interrupted, run_until
-from ..lookup import LookupPlanner
+from ..lookup import LookupPlanner, get_issued_prefixes
 from ..membership import Member, Status
 from ..metrics import Metrics
 from ..platform import MetadataStore
@@ -112,6 +112,10 @@
         here = self.membership.here
         return here.status is Status.LIVE
 
+    def is_leaving(self):
+        """Return whether a planned stop has begun."""
+        return self.membership.here.status is Status.LEAVING
+
     def is_closed(self):
         """Return whether new requests are refused."""
         return self._closed
@@ -303,7 +307,7 @@
         configuration = self.configurator.configuration
         view = self.membership.view
         heard = self.membership.get_heartbeats()
-        prefixes = {name: heartbeat.prefix for name, heartbeat in heard.items()}
+        prefixes = get_issued_prefixes(view.get_live(), heard)
         prefixes[self.settings.name] = self.operations.prefix
         self.planner.update(configuration, view.get_live(), prefixes)
         changed = self._ownership.update(configuration, view)
--- /dev/null
+++ b/turmericrudder/lookup/prefixes.py
@@ -0,0 +1,19 @@
+"""Which operation-key prefixes look-up answers may carry."""
+
+__all__ = ["get_issued_prefixes"]
+
+
+def get_issued_prefixes(members, heard):
+    """Return {instance name: prefix} of the incarnations that live now.
+
+    What was heard from an incarnation that has ended says nothing of the next
+    one, which cannot run the keys of the first.
+
+    :param members: records of live instances.
+    :param heard: {instance name: last heartbeat}.
+    """
+    return {
+        member.name: heard[member.name].prefix
+        for member in members
+        if member.name in heard and heard[member.name].incarnation == member.incarnation
+    }
