Name weak instances in fewer of the directory's answers

Each instance now tells what its machine can carry (processor time and link, from the settings), and is named in as many fewer of the answers.

--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -357,13 +357,23 @@
     assert objects.get_age(2) == 0
 
 
-def test_entries_are_the_nearest():
-    def make(name, domain, region):
+def test_entries_are_the_nearest_and_weak_ones_rare():
+    def make(name, domain, region, capacity=100.0):
         address = Address("10.0.0.1", 80)
-        return Member(name, address, address, domain, region, "n")
+        return Member(name, address, address, domain, region, "n", capacity)
 
+    chooser = random.Random(1)
     members = [make("x", "a1", "a"), make("y", "a2", "a"), make("z", "b1", "b")]
-    assert [m.name for m in choose_entries(members, "a1", "a")] == ["x"]
-    assert [m.name for m in choose_entries(members, "a3", "a")] == ["x", "y"]
-    assert len(choose_entries(members, "c1", "c")) == 3
-    assert choose_entries([], "a1", "a") == []
+
+    def names(*place):
+        return [member.name for member in choose_entries(members, *place, chooser)]
+
+    assert names("a1", "a") == ["x"]
+    assert names("a3", "a") == ["x", "y"]
+    assert len(names("c1", "c")) == 3
+    members.append(make("weak", "a1", "a", 10.0))
+    named = [names("a1", "a") for _ in range(1000)]
+    assert all("x" in answer for answer in named)
+    assert 50 < sum("weak" in answer for answer in named) < 200
+    members.clear()
+    assert names("a1", "a") == []
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -12,7 +12,14 @@
 from ..platform import MetadataStore
 from ..rendezvous import get_score, rank_names
 from ..settings import read_gateway_settings
-from ..steering import BackendSplit, Balancer, Catalog, Member, RouteTable
+from ..steering import (
+    BackendSplit,
+    Balancer,
+    Catalog,
+    Member,
+    RouteTable,
+    choose_entries,
+)
 from .client_application import ClientApplication
 from .forwarder import Forwarder
 from .link_pool import LinkPool
@@ -72,6 +79,7 @@
             settings.failure_domain,
             settings.region,
             os.urandom(NONCE_BYTES).hex(),
+            settings.machine.capacity,
         )
         self.balancer = Balancer(
             settings,
@@ -164,6 +172,11 @@
             found = [a for a in self.settings.seeds if a != self.settings.listen_peers]
         return found
 
+    def choose_entries(self, failure_domain, region):
+        """Return the members that a client of a place should connect to."""
+        members = self.get_members()
+        return choose_entries(members, failure_domain, region, self._random)
+
     def get_split(self, route):
         """Return the counters that distribute a route's requests."""
         key = (route.name, route.backends)
--- a/turmericrudder/gateway/service_applications.py
+++ b/turmericrudder/gateway/service_applications.py
@@ -3,7 +3,6 @@
 import anyio
 
 from ..platform import decode_question, encode_answer, names
-from ..steering import choose_entries
 
 __all__ = [
     "Application",
@@ -64,7 +63,7 @@
             return 404, b"text/plain", b""
         instance = self._instance
         failure_domain, region = decode_question(query)
-        members = choose_entries(instance.get_members(), failure_domain, region)
+        members = instance.choose_entries(failure_domain, region)
         if not members:
             return 503, b"text/plain", b""
         ttl = instance.settings.bounds.lookup_ttl * TTL_PART
--- a/turmericrudder/platform/members.py
+++ b/turmericrudder/platform/members.py
@@ -16,6 +16,7 @@
     failure_domain: str
     region: str
     nonce: str
+    capacity: float
 
 
 def get_member_key(name):
@@ -37,6 +38,7 @@
             member.failure_domain,
             member.region,
             member.nonce,
+            member.capacity,
         )
     )
 
@@ -59,4 +61,5 @@
         document.failure_domain,
         document.region,
         document.nonce,
+        document.capacity,
     )
--- a/turmericrudder/settings/__init__.py
+++ b/turmericrudder/settings/__init__.py
@@ -4,6 +4,7 @@
 from .entry import EntrySettings, read_entry_settings
 from .gateway import GatewaySettings, read_gateway_settings
 from .limits import LimitSettings
+from .machine import MachineSettings
 from .operator import OperatorSettings, read_operator_settings
 from .timing import TimingSettings
 
@@ -12,6 +13,7 @@
     "EntrySettings",
     "GatewaySettings",
     "LimitSettings",
+    "MachineSettings",
     "OperatorSettings",
     "TimingSettings",
     "read_entry_settings",
--- a/turmericrudder/settings/gateway.py
+++ b/turmericrudder/settings/gateway.py
@@ -6,10 +6,11 @@
 from ..errors import SettingsInvalid
 from ..ini import Section, read_ini_file
 from .bounds import BoundSettings
+from .machine import MachineSettings
 
 __all__ = ["GatewaySettings", "read_gateway_settings"]
 
-_SECTIONS = ("instance", "listen", "store", "regions", "bounds", "log")
+_SECTIONS = ("instance", "listen", "store", "regions", "bounds", "machine", "log")
 _LIVE_FIELDS = ("bounds", "regions", "seeds")
 _REQUIRED = ("instance", "listen", "store", "regions", "bounds")
 
@@ -38,6 +39,7 @@
     seeds: tuple[Address, ...]
     regions: dict[str, str]
     bounds: BoundSettings
+    machine: MachineSettings
     log_format: str
     log_level: str
 
@@ -66,7 +68,8 @@
     :raises SettingsInvalid: naming file, section, key and reason.
     """
     sections = read_ini_file(path, _SECTIONS, _REQUIRED, SettingsInvalid)
-    sections.setdefault("log", Section(str(path), "log", {}, SettingsInvalid))
+    for name in ("machine", "log"):
+        sections.setdefault(name, Section(str(path), name, {}, SettingsInvalid))
     settings = _read_sections(sections)
     for section in sections.values():
         section.check_empty()
@@ -93,6 +96,7 @@
         seeds=tuple(map(Address.parse, listen.get_list("seeds", ""))),
         regions={name: regions.get_text(name) for name in list(regions)},
         bounds=BoundSettings.read(sections["bounds"]),
+        machine=MachineSettings.read(sections["machine"]),
         log_format=log.get_choice("format", ("plain", "json"), "json"),
         log_level=log.get_choice("level", ("debug", "info", "warning"), "info"),
     )
--- a/turmericrudder/steering/entry_choice.py
+++ b/turmericrudder/steering/entry_choice.py
@@ -5,11 +5,14 @@
 MAX_ENTRIES = 64  # addresses that one answer may name
 
 
-def choose_entries(members, failure_domain, region):
-    """Return the members nearest to a client, all of the same distance.
+def choose_entries(members, failure_domain, region, random):
+    """Return members nearest to a client, all of the same distance.
 
-    Clients choose among the addresses at random, so a farther instance is
-    named only where no nearer one lives.
+    Clients choose among the addresses at random, so a farther instance is named
+    only where no nearer one lives, and one that can carry less than the
+    strongest is named in so many fewer of the answers.
+
+    :param random: a ``random.Random``.
     """
     for is_near in (
         lambda member: member.failure_domain == failure_domain,
@@ -18,5 +21,7 @@
     ):
         found = [member for member in members if is_near(member)]
         if found:
-            return sorted(found, key=lambda member: member.name)[:MAX_ENTRIES]
+            most = max(member.capacity for member in found)
+            named = [m for m in found if random.random() * most <= m.capacity]
+            return sorted(named, key=lambda member: member.name)[:MAX_ENTRIES]
     return []
--- a/turmericrudder/steering/member.py
+++ b/turmericrudder/steering/member.py
@@ -14,6 +14,7 @@
     :param address: where clients connect.
     :param peer_address: where other instances ask.
     :param nonce: tells one start of an instance from the next.
+    :param capacity: requests a second that it can carry, roughly.
     """
 
     name: str
@@ -22,3 +23,4 @@
     failure_domain: str
     region: str
     nonce: str
+    capacity: float = 1.0
