--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -209,6 +209,28 @@
                 content=msgspec.json.encode(entries),
             )
 
+    async def count_calls(self, call):
+        """Return how often a call of the store has been made."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request(
+                "POST",
+                f"http://{HOST}:{self.get_port(0)}/admin/put",
+                content=b"{}",
+            )
+        return msgspec.json.decode(response.content).get(call, 0)
+
+    async def get_metric(self, first, name):
+        """Return the value of a gauge of an instance, ``None`` without it."""
+        try:
+            answer = await self.get(first + 5, "/metrics")
+        except httpcore.ConnectError:
+            return None
+        for line in answer.content.decode().splitlines():
+            series, _, value = line.rpartition(" ")
+            if series == f"turmericrudder_{name}":
+                return float(value)
+        return None
+
     async def set_fault(self, **fault):
         async with httpcore.AsyncConnectionPool() as pool:
             await pool.request(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """The gateway as a process, from what clients and targets see."""
 
+import signal
 import socket
 
 import anyio
@@ -9,7 +10,9 @@
 from hypothesis import strategies as st
 
 from turmericrudder.gateway.change_log import ChangeLog
+from turmericrudder.gateway.instance import READER_DUTY
 from turmericrudder.platform import Deletion, Item, names
+from turmericrudder.rendezvous import get_score
 
 from .platform_rig import (
     HOST,
@@ -396,3 +399,42 @@
         else:
             copy[event.key] = event.revision
     return log.get_told_revision()
+
+
+@pytest.mark.anyio
+async def test_followers_take_over_when_their_reader_stalls(tmp_path):
+    """One of two instances watches the store; it is paused, then a target leaves."""
+    async with Rig(21400, tmp_path) as rig:
+        other = rig.start_instance(first=60)
+        names_by_first = {0: "g21400", 60: "g21460"}
+        try:
+
+            async def both_are_members():
+                return (await rig.get_metric(60, "members")) == 2
+
+            await wait_for(both_are_members, 8.0)
+            await anyio.sleep(2.0)
+            reader = max(
+                names_by_first,
+                key=lambda first: get_score(READER_DUTY, names_by_first[first]),
+            )
+            follower = 60 - reader
+            watches = await rig.count_calls("kv-watch")
+            await anyio.sleep(1.5)
+            assert await rig.count_calls("kv-watch") == watches
+            process = rig.process if reader == 0 else other
+            process.send_signal(signal.SIGSTOP)
+            try:
+                port = rig.get_target_port(0)
+                leaving = make_registration(port, state="draining", seq=2)
+                await rig.put({"servers/t0": leaving})
+                await anyio.sleep(DRAIN_LIMIT)
+                rig.targets[0].runs.clear()
+                for _ in range(8):
+                    assert (await rig.ask(first=follower)).status == 200
+                assert rig.targets[0].runs == []
+            finally:
+                process.send_signal(signal.SIGCONT)
+        finally:
+            other.kill()
+            other.wait()
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -32,6 +32,13 @@
 )
 from turmericrudder.steering.cold_gate import ColdGate
 from turmericrudder.steering.recent_objects import RecentObjects
+from turmericrudder.steering.region_plan import (
+    COMFORT,
+    MAX_AWAY,
+    STEP_PER_SECOND,
+    RegionPlan,
+    Surroundings,
+)
 from turmericrudder.steering.region_shift import RegionShift
 from turmericrudder.steering.work_estimate import OTHER, WorkEstimate
 
@@ -377,3 +384,71 @@
     assert 50 < sum("weak" in answer for answer in named) < 200
     members.clear()
     assert names("a1", "a") == []
+
+
+def run_plan(around, rate, work, seconds, plan=None, start=0.0):
+    """Return the shares that a plan names while requests arrive evenly."""
+    plan = plan or RegionPlan()
+    shares = []
+    for number in range(int(rate * seconds)):
+        now = start + number / rate
+        shares.append(plan.get_share(around, now))
+        plan.note(work, now)
+    return shares
+
+
+def test_small_region_is_relieved_from_the_first_request_on():
+    # A third of the clients, an eighth of the slots.
+    around = Surroundings(
+        here_slots=12, all_slots=96, peers=1, here_domains=2, all_domains=6
+    )
+    shares = run_plan(around, 60, 0.2, 20)
+    everywhere = 6 / 96
+    assert shares[0] == pytest.approx(1 - everywhere / (2 / 12))
+    # 24 target-seconds a second for 12 slots, 72 for 96.
+    assert shares[-1] == pytest.approx(1 - 0.75 / 2.0, abs=0.03)
+
+
+def test_region_with_room_keeps_its_objects():
+    around = Surroundings(
+        here_slots=48, all_slots=96, peers=1, here_domains=2, all_domains=6
+    )
+    assert set(run_plan(around, 60, 0.2, 10)) == {0.0}
+    light = Surroundings(
+        here_slots=12, all_slots=96, peers=1, here_domains=2, all_domains=6
+    )
+    # 4 target-seconds a second for 12 slots are within comfort.
+    assert run_plan(light, 10, 0.2, 30)[-1] == pytest.approx(0.0, abs=0.01)
+
+
+@pytest.mark.parametrize("here_slots", [0, 12, 96])
+def test_plan_stays_within_its_bounds(here_slots):
+    around = Surroundings(
+        here_slots=here_slots, all_slots=96, peers=2, here_domains=2, all_domains=6
+    )
+    plan = RegionPlan()
+    shares = run_plan(around, 50, 0.05, 5, plan)
+    shares += run_plan(around, 50, 2.0, 20, plan, 5.0)
+    if here_slots == 0:
+        assert set(shares) == {1.0}
+        return
+    assert min(shares) >= 0.0 and max(shares) <= MAX_AWAY
+    for before, after in zip(shares, shares[1:], strict=False):
+        assert abs(after - before) <= STEP_PER_SECOND / 50 + 1e-9
+    assert 0 < COMFORT < 1
+
+
+def test_objects_of_a_small_region_live_on_one_side():
+    near = [make_endpoint("near", slots=2)]
+    far = [make_endpoint(f"far{n}", "b1", slots=8) for n in range(4)]
+    catalog, _ = make_balancer(*near, *far)
+    balancer = Balancer(
+        SETTINGS, catalog, lambda _: True, lambda: (1, 1, 2), random.Random(2)
+    )
+    sides = {}
+    for number in range(40):
+        query = make_query(make_route(has_affinity=True), f"k{number}")
+        chosen = {balancer.choose(query, 0.0).record.endpoint.id for _ in range(5)}
+        assert len(chosen) == 1
+        sides[number] = chosen.pop() == "near"
+    assert 0 < sum(sides.values()) < 40
