--- a/turmericrudder/forwarding/headers.py
+++ b/turmericrudder/forwarding/headers.py
@@ -1,5 +1,7 @@
 """Names of headers, and which of them may pass from one side to the other."""
 
+from ..hop import get_hop_headers
+
 __all__ = [
     "DEADLINE",
     "HOME_REGION",
@@ -30,22 +32,7 @@
 # Given by callers, passed to upstreams.
 KEY = b"idempotency-key"
 
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"expect",
-        b"host",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-_LENGTH = b"content-length"
+_HOST = b"host"
 
 
 def get_header(headers, name):
@@ -58,18 +45,9 @@
 
 def strip_headers(headers):
     """Return headers without those that end at this hop or are our own."""
-    dropped = _HOP_BY_HOP | _get_connection_options(headers)
+    dropped = get_hop_headers(headers) | {_HOST}
     return [
         (name, value)
         for name, value in headers
         if name.lower() not in dropped and not name.lower().startswith(_OWN)
     ]
-
-
-def _get_connection_options(headers):
-    options = set()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            options |= {option.strip().lower() for option in value.split(b",")}
-    options.discard(_LENGTH)
-    return options
--- a/turmericrudder/gateway/client_request.py
+++ b/turmericrudder/gateway/client_request.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from ..hop import get_hop_headers
 from ..platform import names
 from ..steering import Route
 from .request_log import RequestTrail
@@ -9,20 +10,6 @@
 __all__ = ["ClientRequest"]
 
 MS_PER_SECOND = 1000
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
 # Set here, whatever the client sent.
 _REPLACED = frozenset((b"content-length", names.DEADLINE, names.EXPECTED_INSTANCE))
 
@@ -58,7 +45,7 @@
 
     def make_head(self, target_id, now):
         """Return the head of the request to a target as bytes."""
-        dropped = _HOP_BY_HOP | _REPLACED | _get_connection_options(self.headers)
+        dropped = get_hop_headers(self.headers) | _REPLACED
         lines = [self.method.encode(), b" ", self.target, b" HTTP/1.1\r\n"]
         for name, value in self.headers:
             if name not in dropped:
@@ -72,10 +59,3 @@
             lines.append(b"content-length: %d\r\n" % (self.length or 0))
         lines.append(b"\r\n")
         return b"".join(lines)
-
-
-def _get_connection_options(headers):
-    for name, value in headers:
-        if name == b"connection":
-            return {option.strip().lower() for option in value.split(b",")}
-    return frozenset()
--- a/turmericrudder/settings/entry.py
+++ b/turmericrudder/settings/entry.py
@@ -3,8 +3,7 @@
 from dataclasses import dataclass
 
 from ..address import Address
-from ..errors import SettingsInvalid
-from ..ini import Section, read_ini_file
+from .file import read_settings
 from .limits import LimitSettings
 from .peers import read_addresses, read_peer_key
 from .timing import TimingSettings
@@ -48,13 +47,7 @@
 
     :raises SettingsInvalid: naming file, section, key and reason.
     """
-    sections = read_ini_file(path, _SECTIONS, _REQUIRED, SettingsInvalid)
-    for name in _SECTIONS:
-        sections.setdefault(name, Section(str(path), name, {}, SettingsInvalid))
-    settings = _read_sections(sections)
-    for section in sections.values():
-        section.check_empty()
-    return settings
+    return read_settings(path, _SECTIONS, _REQUIRED, _read_sections)
 
 
 def _read_sections(sections):
--- /dev/null
+++ b/turmericrudder/settings/file.py
@@ -0,0 +1,24 @@
+"""Read a settings file section by section."""
+
+from ..errors import SettingsInvalid
+from ..ini import Section, read_ini_file
+
+__all__ = ["read_settings"]
+
+
+def read_settings(path, allowed, required, build):
+    """Return what ``build`` makes of the sections of the INI file at ``path``.
+
+    :param allowed: names of sections that may be there; a missing one is empty.
+    :param required: names of sections that must be there.
+    :param build: function of {name: :class:`~turmericrudder.ini.Section`}.
+    :raises SettingsInvalid: naming file, section, key and reason, also for a
+        key that ``build`` did not ask for.
+    """
+    sections = read_ini_file(path, allowed, required, SettingsInvalid)
+    for name in allowed:
+        sections.setdefault(name, Section(str(path), name, {}, SettingsInvalid))
+    settings = build(sections)
+    for section in sections.values():
+        section.check_empty()
+    return settings
--- a/turmericrudder/settings/gateway.py
+++ b/turmericrudder/settings/gateway.py
@@ -3,9 +3,8 @@
 from dataclasses import dataclass
 
 from ..address import Address
-from ..errors import SettingsInvalid
-from ..ini import Section, read_ini_file
 from .bounds import BoundSettings
+from .file import read_settings
 from .machine import MachineSettings
 
 __all__ = ["GatewaySettings", "read_gateway_settings"]
@@ -67,13 +66,7 @@
 
     :raises SettingsInvalid: naming file, section, key and reason.
     """
-    sections = read_ini_file(path, _SECTIONS, _REQUIRED, SettingsInvalid)
-    for name in ("machine", "log"):
-        sections.setdefault(name, Section(str(path), name, {}, SettingsInvalid))
-    settings = _read_sections(sections)
-    for section in sections.values():
-        section.check_empty()
-    return settings
+    return read_settings(path, _SECTIONS, _REQUIRED, _read_sections)
 
 
 def _read_sections(sections):
--- a/turmericrudder/settings/operator.py
+++ b/turmericrudder/settings/operator.py
@@ -3,8 +3,7 @@
 from dataclasses import dataclass
 
 from ..address import Address
-from ..errors import SettingsInvalid
-from ..ini import read_ini_file
+from .file import read_settings
 from .peers import read_addresses, read_peer_key
 
 __all__ = ["OperatorSettings", "read_operator_settings"]
@@ -34,14 +33,15 @@
 
     :raises SettingsInvalid: naming file, section, key and reason.
     """
-    sections = read_ini_file(path, _SECTIONS, _SECTIONS, SettingsInvalid)
+    return read_settings(path, _SECTIONS, _SECTIONS, _read_sections)
+
+
+def _read_sections(sections):
     section = sections["operator"]
-    settings = OperatorSettings(
+    return OperatorSettings(
         workspace=section.get_text("workspace"),
         author=section.get_text("author"),
         store=section.get_address("store"),
         entries=read_addresses(section, "entries"),
         peer_key=read_peer_key(section),
     )
-    section.check_empty()
-    return settings
