--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -42,7 +42,7 @@
 # Parts of the grace time after a stop signal: how long new requests are still
 # taken, and when the instance ends whatever is left.
 TAKE_PART = 0.45
-END_PART = 0.95
+END_PART = 0.9
 # Seconds without a request after which a stopping instance may end early.
 QUIET = 1.0
 
