--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from turmericrudder.gateway.change_log import ChangeLog
-from turmericrudder.gateway.instance import READER_DUTY
+from turmericrudder.gateway.members import READER_DUTY
 from turmericrudder.platform import Deletion, Item, names
 from turmericrudder.rendezvous import get_score
 
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -86,15 +86,14 @@
     return Endpoint(id=target_id, **values)
 
 
-def make_balancer(*endpoints, feeds_cold=True, has_settled=False):
+def make_balancer(*endpoints, feeds_cold=True, has_settled=False, counts=(1, 1, 1)):
     catalog = Catalog()
     catalog.set_profiles({"s": PROFILE})
     catalog.has_settled = has_settled
     for number, endpoint in enumerate(endpoints):
         catalog.put(endpoint, number + 1, 0.0)
-    balancer = Balancer(
-        SETTINGS, catalog, lambda _: feeds_cold, lambda: (1, 1, 1), random.Random(1)
-    )
+    members = SimpleNamespace(counts=counts, feeds_cold=lambda _: feeds_cold)
+    balancer = Balancer(SETTINGS, catalog, members, random.Random(1))
     return catalog, balancer
 
 
@@ -441,10 +440,7 @@
 def test_objects_of_a_small_region_live_on_one_side():
     near = [make_endpoint("near", slots=2)]
     far = [make_endpoint(f"far{n}", "b1", slots=8) for n in range(4)]
-    catalog, _ = make_balancer(*near, *far)
-    balancer = Balancer(
-        SETTINGS, catalog, lambda _: True, lambda: (1, 1, 2), random.Random(2)
-    )
+    _, balancer = make_balancer(*near, *far, counts=(1, 1, 2))
     sides = {}
     for number in range(40):
         query = make_query(make_route(has_affinity=True), f"k{number}")
--- a/tests/test_upstream_link.py
+++ b/tests/test_upstream_link.py
@@ -8,6 +8,7 @@
 from turmericrudder.address import Address
 from turmericrudder.errors import LinkBroken, LinkRefused
 from turmericrudder.gateway.upstream_link import open_link
+from turmericrudder.interrupt import Interrupted
 
 HOST = "127.0.20.3"
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
@@ -165,3 +166,15 @@
 async def test_unreachable_target_is_refused():
     with pytest.raises(LinkRefused):
         await open_link(Address(HOST, 1), 1.0)
+
+
+@pytest.mark.anyio
+async def test_request_body_that_breaks_off_ends_the_exchange():
+    async def broken_body():
+        yield b"part"
+        raise Interrupted("the client went away")
+
+    async with serve(b"") as link:
+        with pytest.raises(LinkBroken, match="the client went away"):
+            await link.exchange(REQUEST, broken_body(), b"a")
+        assert not link.is_reusable()
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -8,57 +8,41 @@
 from ..events import catalogue
 from ..platform import names
 from ..steering import Chosen, NoTarget, Query, RetryAllowance, ServerLoad
+from .course import Course
 from .outcome import Broken, Refused, Streaming, TurnedAway, Whole
 
-__all__ = ["Forwarder", "Refusal"]
+__all__ = ["Forwarder"]
 
 WHOLE_BYTES = 256 * 1024  # longest answer that is read before it is passed on
-MAX_CONNECTS = 4  # targets that are dialled in vain for one request
-RETRY_AFTER_MIN = 0.05  # seconds
 MS_PER_SECOND = 1000
 
 
-class Refusal:
-    """A final answer of our own.
-
-    :param has_run: whether the request may have run at a target.
-    :param retry_after: seconds after which to come back, or ``None``.
-    """
-
-    __slots__ = ("reason", "retry_after", "status")
-
-    def __init__(self, status, reason, retry_after=None):
-        self.status = status
-        self.reason = reason
-        self.retry_after = retry_after
-
-
 class Forwarder:
     """Chooses targets, sends, repeats what may be repeated.
 
-    :param count_members: function that returns the number of live instances.
+    :param members: the live instances, which share the extra repeats.
     """
 
     __slots__ = (
         "_allowances",
         "_balancer",
-        "_count_members",
+        "_members",
         "_pool",
         "_settings",
         "_tickets",
     )
 
-    def __init__(self, settings, balancer, pool, count_members):
+    def __init__(self, settings, balancer, pool, members):
         self._settings = settings
         self._balancer = balancer
         self._pool = pool
-        self._count_members = count_members
+        self._members = members
         self._allowances = {}
         self._tickets = itertools.count(1)
 
     async def forward(self, request):
         """Return :class:`Whole`, :class:`Streaming` or :class:`Refusal`."""
-        course = _Course(request)
+        course = Course(request)
         with anyio.move_on_at(request.expires):
             return await self._send_until_final(course)
         return course.time_out()
@@ -74,7 +58,7 @@
                     return course.give_up(obstacle.value, retry_after)
             if course.sends == 0:
                 allowance.note_request(now)
-            elif not allowance.spend(now, self._count_members()):
+            elif not allowance.spend(now, len(self._members)):
                 return course.give_up("retry_budget", choice.expected)
             outcome = await self._send(course, choice)
             if not course.may_go_on(outcome):
@@ -186,83 +170,6 @@
         return allowance
 
 
-class _Course:
-    """What happened to a request so far."""
-
-    __slots__ = (
-        "_failure",
-        "_ran_before",
-        "connects",
-        "may_have_run",
-        "request",
-        "sends",
-        "tried",
-    )
-
-    def __init__(self, request):
-        self.request = request
-        self.sends = 0
-        self.connects = 0
-        self.may_have_run = False
-        self.tried = set()
-        self._ran_before = False
-        self._failure = None
-
-    def note_sent(self):
-        """Note that bytes of the request leave for a target."""
-        self.sends += 1
-        self._ran_before = self.may_have_run
-        self.may_have_run = True
-
-    def may_go_on(self, outcome):
-        """Return whether another target may get the request."""
-        route = self.request.route
-        match outcome:
-            case Refused():
-                self.connects += 1
-                return self.connects < MAX_CONNECTS
-            case TurnedAway():
-                self.may_have_run = self._ran_before
-            case Whole(status) if status < 500:
-                return False
-            case Streaming():
-                return False
-            case Whole() | Broken():
-                if not route.is_idempotent:
-                    return False
-                if isinstance(outcome, Whole):
-                    self._failure = outcome
-        has_body = self.request.body is not None
-        return has_body and self.sends < route.max_attempts
-
-    def finish(self, outcome, expected):
-        """Return the final answer after the last send."""
-        match outcome:
-            case Whole() | Streaming():
-                return outcome
-            case TurnedAway(reason) | Refused(reason):
-                return self.give_up(reason, expected)
-            case Broken(reason):
-                return Refusal(502, reason)
-
-    def time_out(self):
-        """Return the answer at the end of the time that there was."""
-        if self._failure is not None:
-            return self._failure
-        if self.may_have_run:
-            return Refusal(504, "timeout")
-        return Refusal(503, "timeout", RETRY_AFTER_MIN)
-
-    def give_up(self, reason, retry_after):
-        """Return the answer that tells the truth about earlier sends."""
-        if self._failure is not None:
-            return self._failure
-        if self.may_have_run:
-            return Refusal(502, reason)
-        retry_after = max(RETRY_AFTER_MIN, retry_after)
-        return Refusal(503, reason, retry_after)
-
-
 def _note_sent(request, choice, now, is_new):
     record = choice.record
     request.trail.note(
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -10,20 +10,13 @@
 from ..events import EventLog, catalogue
 from ..metrics import Metrics
 from ..platform import MetadataStore
-from ..rendezvous import get_score, rank_names
 from ..settings import read_gateway_settings
-from ..steering import (
-    BackendSplit,
-    Balancer,
-    Catalog,
-    Member,
-    RouteTable,
-    choose_entries,
-)
+from ..steering import BackendSplit, Balancer, Catalog, Member, RouteTable
 from .client_application import ClientApplication
 from .forwarder import Forwarder
 from .link_pool import LinkPool
 from .listener import Listener
+from .members import Members
 from .peer_link import PeerApplication, PeerClient
 from .registration import Registration
 from .registry import Registry
@@ -37,7 +30,6 @@
 __all__ = ["Gateway", "run_gateway"]
 
 NONCE_BYTES = 8
-READER_DUTY = "store reader"  # the key by which a region's members choose one
 TICK = 0.5  # seconds between rounds of housekeeping
 # Parts of the grace time after a stop signal: how long new requests are still
 # taken, and when the instance ends whatever is left.
@@ -67,9 +59,6 @@
         self.catalog = Catalog()
         self._stop_began = None
         self._last_request = 0.0
-        self._members = {}
-        self._member_counts = (1, 1, 1)
-        self._reader = None
         self._splits = {}
         self._random = random.Random(settings.name)
         self.member = Member(
@@ -81,20 +70,10 @@
             os.urandom(NONCE_BYTES).hex(),
             settings.machine.capacity,
         )
-        self.balancer = Balancer(
-            settings,
-            self.catalog,
-            self.feeds_cold,
-            lambda: self._member_counts,
-            self._random,
-        )
+        self.members = Members(settings, self.member)
+        self.balancer = Balancer(settings, self.catalog, self.members, self._random)
         self.pool = LinkPool()
-        self.forwarder = Forwarder(
-            settings,
-            self.balancer,
-            self.pool,
-            lambda: len(self.get_members()),
-        )
+        self.forwarder = Forwarder(settings, self.balancer, self.pool, self.members)
         self.store = MetadataStore(settings.store)
         self.registry = Registry(self, self.store, PeerClient())
         self.registration = Registration(self, self.member, self.store)
@@ -133,49 +112,9 @@
             return False
         return now > self._stop_began + TAKE_PART * self.settings.bounds.grace
 
-    def get_members(self):
-        """Return the live instances, this one among them unless it stops."""
-        members = dict(self._members)
-        members.pop(self.settings.name, None)
-        if not self.is_stopping:
-            members[self.settings.name] = self.member
-        return list(members.values())
-
-    def is_reader(self):
-        """Return whether this instance watches the store for its region."""
-        return self._reader is None or self._reader.name == self.settings.name
-
-    def get_reader_address(self):
-        """Return where to ask the region's reader, ``None`` if it is this one."""
-        return None if self.is_reader() else self._reader.peer_address
-
-    def _note_members(self):
-        """Count the members and choose the region's reader anew."""
-        region, domain = self.settings.region, self.settings.failure_domain
-        members = self.get_members()
-        near = [m for m in members if m.region == region]
-        self._member_counts = (
-            sum(m.failure_domain == domain for m in near),
-            len({m.failure_domain for m in near}),
-            len({m.failure_domain for m in members}),
-        )
-        self._reader = max(
-            near, key=lambda m: get_score(READER_DUTY, m.name), default=None
-        )
-
-    def get_peer_addresses(self):
-        """Return the addresses of other instances, near ones if there are any."""
-        others = [m for m in self.get_members() if m.name != self.settings.name]
-        near = [m.peer_address for m in others if m.region == self.settings.region]
-        found = near or [member.peer_address for member in others]
-        if not found:
-            found = [a for a in self.settings.seeds if a != self.settings.listen_peers]
-        return found
-
     def choose_entries(self, failure_domain, region):
         """Return the members that a client of a place should connect to."""
-        members = self.get_members()
-        return choose_entries(members, failure_domain, region, self._random)
+        return self.members.choose_entries(failure_domain, region, self._random)
 
     def get_split(self, route):
         """Return the counters that distribute a route's requests."""
@@ -185,22 +124,11 @@
             split = self._splits[key] = BackendSplit()
         return split
 
-    def feeds_cold(self, endpoint):
-        """Return whether this instance sends to a target while it is cold."""
-        members = self.get_members()
-        regions = self.settings.regions
-        near = [m for m in members if m.failure_domain == endpoint.failure_domain]
-        if not near:
-            region = regions.get(endpoint.failure_domain)
-            near = [m for m in members if m.region == region] or members
-        ranked = rank_names(endpoint.id, [member.name for member in near])
-        return bool(ranked) and ranked[0] == self.settings.name
-
     def format_metrics(self):
         """Return all series as text."""
         gauges = {
             "targets": len(self.catalog),
-            "members": len(self.get_members()),
+            "members": len(self.members),
             "store_calls": self.store.call_count,
             "connections_opened": self.pool.opened,
         }
@@ -268,17 +196,14 @@
 
     def put_member(self, member, revision):
         """Take another instance's registration."""
-        if self._members.get(member.name) != member:
-            self._members[member.name] = member
-            self._note_members()
+        if self.members.put(member):
             self.log.write(
                 catalogue.MEMBER_JOINED, member=member.name, revision=revision
             )
 
     def remove_member(self, name, revision):
         """Take the end of another instance's registration."""
-        if self._members.pop(name, None) is not None:
-            self._note_members()
+        if self.members.remove(name):
             self.log.write(catalogue.MEMBER_FAILED, member=name, revision=revision)
 
     def note_synced(self):
@@ -340,7 +265,7 @@
 
     async def _stop(self):
         self.is_stopping = True
-        self._note_members()
+        self.members.leave()
         began = self._stop_began = anyio.current_time()
         self.log.write(catalogue.INSTANCE_LEAVING, open=self.clients.request_count)
         with anyio.move_on_after(1.0):
--- a/turmericrudder/gateway/outcome.py
+++ b/turmericrudder/gateway/outcome.py
@@ -1,8 +1,8 @@
-"""What became of one send to a target."""
+"""What became of one send to a target, and a final answer of our own."""
 
 from dataclasses import dataclass
 
-__all__ = ["Broken", "Refused", "Streaming", "TurnedAway", "Whole"]
+__all__ = ["Broken", "Refusal", "Refused", "Streaming", "TurnedAway", "Whole"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,3 +45,15 @@
     """The request was sent and may have run, but no proper answer came."""
 
     reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A final answer of our own.
+
+    :param retry_after: seconds after which to come back, or ``None``.
+    """
+
+    status: int
+    reason: str
+    retry_after: float | None = None
--- a/turmericrudder/gateway/registration.py
+++ b/turmericrudder/gateway/registration.py
@@ -65,7 +65,7 @@
             return  # the lease runs out by itself
 
     def _get_pause(self):
-        if self._instance.is_reader():
+        if self._instance.members.is_reader():
             return min(READER_PAUSE, self._lease_seconds / RENEWALS)
         return self._lease_seconds / RENEWALS
 
--- a/turmericrudder/gateway/registry.py
+++ b/turmericrudder/gateway/registry.py
@@ -121,7 +121,7 @@
                 await anyio.sleep(RETRY_PAUSE)
 
     def _needs_store(self):
-        if not self._is_current or self._instance.is_reader():
+        if not self._is_current or self._instance.members.is_reader():
             return True
         return anyio.current_time() >= self._peer_good_until
 
@@ -170,8 +170,8 @@
 
     def _choose_peer(self):
         if self._lost_at is None and self._is_current:
-            return self._instance.get_reader_address()
-        addresses = self._instance.get_peer_addresses()
+            return self._instance.members.get_reader_address()
+        addresses = self._instance.members.get_peer_addresses()
         return random.choice(addresses) if addresses else None
 
     def _take_news(self, news):
--- a/turmericrudder/gateway/upstream_link.py
+++ b/turmericrudder/gateway/upstream_link.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from ..errors import LinkBroken, LinkRefused
+from ..errors import LinkBroken, LinkRefused, SteeringError
 from ..platform import names
 
 __all__ = ["UpstreamLink", "open_link"]
@@ -275,11 +275,16 @@
         self._wake()
 
     async def _send_body(self, body):
-        async for chunk in body:
-            await self._drained.wait()
-            if self._is_closed:
-                return
-            self._transport.write(chunk)
+        try:
+            async for chunk in body:
+                await self._drained.wait()
+                if self._is_closed:
+                    return
+                self._transport.write(chunk)
+        except SteeringError as exc:
+            # The rest will not come, so the target must not wait for it.
+            self._fail(f"request body: {exc}")
+            return
         self._body_sent = True
 
     async def _wait_for(self, condition):
--- a/turmericrudder/steering/__init__.py
+++ b/turmericrudder/steering/__init__.py
@@ -1,8 +1,9 @@
 """Decisions about requests that go straight to targets; no I/O, no clock."""
 
 from .backend_split import BackendSplit
-from .balancer import Balancer, Chosen, NoTarget, Obstacle, Query
+from .balancer import Balancer
 from .catalog import Catalog
+from .choice import Chosen, NoTarget, Obstacle, Query
 from .endpoint import Endpoint
 from .entry_choice import choose_entries
 from .member import Member
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -6,16 +6,14 @@
 """
 
 import math
-from dataclasses import dataclass
-from enum import Enum
 
 from ..rendezvous import get_score, get_uniform
+from .choice import Chosen, NoTarget, Obstacle
 from .region_plan import RegionPlan, Surroundings
 from .region_shift import RegionShift
-from .target_record import TargetRecord
 from .work_estimate import FIRST, OTHER, WorkEstimate
 
-__all__ = ["Balancer", "Chosen", "NoTarget", "Obstacle", "Query"]
+__all__ = ["Balancer"]
 
 # Until a first connection tells: what a round trip may take.
 PRIOR_NEAR = 0.001  # seconds, within a region
@@ -34,78 +32,19 @@
 CROWD_WEIGHT = 1.0  # what a busy service adds to the price of its targets' time
 
 
-class Obstacle(Enum):
-    """Why no target was found."""
-
-    NONE_REGISTERED = "none_registered"
-    NONE_ALLOWED = "none_allowed"
-    NONE_REACHABLE = "none_reachable"
-    ALL_COLD = "all_cold"
-    TOO_LATE = "too_late"
-
-
-@dataclass(frozen=True, slots=True)
-class Query:
-    """What matters of a request for the choice.
-
-    :param object_key: value that requests for the same object share, or ``None``.
-    :param arrived: monotonic time of the request's arrival.
-    :param expires: monotonic time by which the answer must be there.
-    :param tried: ids of targets that had this request already.
-    """
-
-    service: str
-    route: object
-    object_key: str | None
-    arrived: float
-    expires: float
-    tried: frozenset[str] = frozenset()
-
-
-@dataclass(frozen=True, slots=True)
-class Chosen:
-    """The target with the least cost.
-
-    :param expected: seconds until its answer: round trip, wait and work.
-    :param slowdown: how much longer than usual work takes there now.
-    :param work_key: what the answer will teach of, see :class:`WorkEstimate`.
-    """
-
-    record: TargetRecord
-    expected: float
-    round_trip: float
-    work: float
-    slowdown: float
-    cost: float
-    work_key: object
-    is_away: bool
-
-
-@dataclass(frozen=True, slots=True)
-class NoTarget:
-    """No target can take the request.
-
-    :param retry_after: seconds after which there may be room.
-    """
-
-    obstacle: Obstacle
-    retry_after: float
-
-
 class Balancer:
     """Pure decisions over the catalog's records.
 
-    :param feeds_cold: function of a target's id that returns whether this
-        instance is the one that sends to it while it is cold.
-    :param count_members: function that returns (instances in this one's failure
-        domain, failure domains of its region with instances, all such domains).
+    :param members: has ``counts`` (members in this one's failure domain, failure
+        domains of its region with members, all such domains) and
+        ``feeds_cold(endpoint)``, whether this instance is the one that sends to
+        a target while it is cold.
     """
 
     __slots__ = (
         "_catalog",
-        "_count_members",
         "_estimates",
-        "_feeds_cold",
+        "_members",
         "_plans",
         "_random",
         "_scores",
@@ -113,11 +52,10 @@
         "_shift",
     )
 
-    def __init__(self, settings, catalog, feeds_cold, count_members, random):
+    def __init__(self, settings, catalog, members, random):
         self._settings = settings
         self._catalog = catalog
-        self._feeds_cold = feeds_cold
-        self._count_members = count_members
+        self._members = members
         self._random = random
         self._estimates = {}
         self._plans = {}
@@ -180,7 +118,7 @@
         if profile is None or profile.cold_rate is None:
             return True
         bounds = self._settings.bounds
-        return self._feeds_cold(record.endpoint) and record.cold_gate.is_open(
+        return self._members.feeds_cold(record.endpoint) and record.cold_gate.is_open(
             profile.cold_rate, bounds.cold_overage, bounds.cold_slack, now
         )
 
@@ -310,7 +248,7 @@
             everywhere += record.endpoint.slots
             if not self._is_away(record):
                 here += record.endpoint.slots
-        return Surroundings(here, everywhere, *self._count_members())
+        return Surroundings(here, everywhere, *self._members.counts)
 
     def _get_crowd(self, records, now):
         """Return the requests for each slot of the region's targets."""
--- a/turmericrudder/steering/catalog.py
+++ b/turmericrudder/steering/catalog.py
@@ -12,7 +12,8 @@
 class Catalog:
     """Registrations never go back: each carries the store's revision.
 
-    :param is_fresh_start: called for targets that join while requests run.
+    :ivar has_settled: whether the store has been read whole once; targets that
+        register later are new, and cold.
     """
 
     __slots__ = (
