--- a/soak/world.py
+++ b/soak/world.py
@@ -91,6 +91,8 @@
 
     async def stop(self):
         """Stop as planned, note a bad exit, start again."""
+        if self.process.poll() is not None:
+            return  # it was killed; whoever did that starts it again
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGTERM)
         process, signals = self.process, self._signals
