Log when an instance loses and regains its own entry in the store

A follower that could not renew its lease wrote no line: only the registry, which does not call the store there, logged that the store was away. The new test failed before (no entry_unkept in the log).

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from turmericrudder.events import read_log
 from turmericrudder.gateway.change_log import ChangeLog
 from turmericrudder.gateway.members import READER_DUTY
 from turmericrudder.platform import Deletion, Item, names
@@ -458,3 +459,20 @@
 async def test_request_without_id_is_bad_input(rig):
     assert (await rig.ask(attempt_id="")).status == 400
     assert rig.get_runs() == []
+
+
+@pytest.mark.anyio
+async def test_lost_and_regained_store_have_lines(rig):
+    await rig.set_fault(outage=True)
+    await anyio.sleep(2.0)
+    await rig.set_fault()
+    await anyio.sleep(2.0)
+    names_written = [
+        line.name for line in read_log([rig.log]) if line.instance == f"g{rig.base}"
+    ]
+    for lost, regained in (
+        ("store_unreachable", "store_reachable"),
+        ("entry_unkept", "entry_kept"),
+    ):
+        assert lost in names_written
+        assert regained in names_written[names_written.index(lost) :]
--- a/turmericrudder/events/catalogue.py
+++ b/turmericrudder/events/catalogue.py
@@ -26,6 +26,8 @@
 MEMBER_FAILED = Event(303, "member_failed", WARNING, "out of look-up answers")
 MEMBER_LEAVING = Event(304, "member_leaving", INFO, "planned stop elsewhere")
 MEMBER_REFUTED = Event(305, "member_refuted", INFO, "alive although called failed")
+ENTRY_UNKEPT = Event(307, "entry_unkept", WARNING, "own entry cannot be renewed")
+ENTRY_KEPT = Event(308, "entry_kept", INFO, "own entry is renewed again")
 MESSAGE_REFUSED = Event(306, "message_refused", WARNING, "a control message is bad")
 
 ROUTE_TARGET = Event(401, "route_target", INFO, "sent to a target owned here")
--- a/turmericrudder/gateway/registration.py
+++ b/turmericrudder/gateway/registration.py
@@ -3,6 +3,7 @@
 import anyio
 
 from ..errors import LeaseEnded, StoreError
+from ..events import catalogue
 from ..platform import encode_member, get_member_key
 
 __all__ = ["Registration"]
@@ -20,6 +21,7 @@
 
     __slots__ = (
         "_instance",
+        "_is_lost",
         "_is_withdrawn",
         "_lease",
         "_lease_seconds",
@@ -34,6 +36,7 @@
         self._lease_seconds = max(LEASE_SECONDS, instance.settings.lease_min)
         self._lease = None
         self._is_withdrawn = False
+        self._is_lost = False
 
     async def run(self):
         """Register and renew until withdrawn."""
@@ -46,10 +49,11 @@
             except LeaseEnded:
                 self._lease = None
                 continue
-            except StoreError:
-                # The registry logs that the store is away.
+            except StoreError as exc:
+                self._note_lost(exc)
                 await anyio.sleep(RETRY_PAUSE)
                 continue
+            self._note_kept()
             self._instance.registry.note_contact()
             await anyio.sleep(self._get_pause())
 
@@ -65,8 +69,20 @@
             return
         try:
             await self._store.end_lease(lease)
-        except StoreError:
-            return  # the lease runs out by itself
+        except StoreError as exc:
+            # The lease runs out by itself.
+            self._instance.log.write(catalogue.ENTRY_UNKEPT, error=str(exc))
+
+    def _note_lost(self, exc):
+        """Write a line when the entry can no longer be kept, not at each try."""
+        if not self._is_lost:
+            self._is_lost = True
+            self._instance.log.write(catalogue.ENTRY_UNKEPT, error=str(exc))
+
+    def _note_kept(self):
+        if self._is_lost:
+            self._is_lost = False
+            self._instance.log.write(catalogue.ENTRY_KEPT)
 
     def _get_pause(self):
         if self._instance.members.is_reader():
