--- a/tests/test_upstream_link.py
+++ b/tests/test_upstream_link.py
@@ -178,3 +178,29 @@
         with pytest.raises(LinkBroken, match="the client went away"):
             await link.exchange(REQUEST, broken_body(), b"a")
         assert not link.is_reusable()
+
+
+@pytest.mark.anyio
+async def test_request_in_progress_is_reset_when_it_is_given_up():
+    """After a plain close, bytes held up by a partition would still arrive."""
+    ends = []
+
+    async def handle(stream):
+        await stream.receive()
+        try:
+            await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError) as exc:
+            ends.append(type(exc))
+
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, handle)
+        link = await open_link(Address(HOST, port), 1.0)
+        with anyio.move_on_after(0.1):
+            await link.exchange(REQUEST, b"", b"a")
+        link.close()
+        await anyio.sleep(0.1)
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+    assert ends == [anyio.BrokenResourceError]
--- a/turmericrudder/gateway/upstream_link.py
+++ b/turmericrudder/gateway/upstream_link.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+import struct
 
 import httptools
 
@@ -20,6 +21,7 @@
 KEEPALIVE_IDLE = 2  # seconds; finds connections that went silent
 KEEPALIVE_INTERVAL = 2  # seconds
 KEEPALIVE_PROBES = 2
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger on, for no time at all
 _BODYLESS_STATUSES = (204, 304)
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
@@ -89,8 +91,12 @@
     def close(self):
         """Close at once; a request in progress is cancelled by that."""
         self._is_closed = True
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._is_active and not self._complete:
+            # What has not left yet must not arrive after a partition has healed.
+            self._reset_on_close()
+        self._transport.abort()
 
     async def exchange(self, head, body, attempt_id, is_head_request=False):
         """Send a request and return once the answer's head is there.
@@ -274,6 +280,12 @@
             )
         self._wake()
 
+    def _reset_on_close(self):
+        connection = self._transport.get_extra_info("socket")
+        if connection is None or self._transport.is_closing():
+            return
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     async def _send_body(self, body):
         try:
             async for chunk in body:
