Remove what nothing calls; keep one copy of small pieces

Methods, a header name and an assignment without effect are gone, the soak's proxy uses the tuple it had, both stand-ins of targets share how they notice that a client has left, and a registration that keeps its service no longer indexes all targets anew.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -71,11 +71,7 @@
                 chunk = await source.receive(CHUNK_BYTES)
                 await self._suffer(is_answer)
                 await sink.send(chunk)
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
+        except _ENDS:
             scope.cancel()
 
     async def _suffer(self, is_answer):
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -6,7 +6,7 @@
 from turmericrudder.address import Address
 from turmericrudder.daemon.server import Server
 
-__all__ = ["answer", "cut", "read_body", "serve"]
+__all__ = ["answer", "cancel_when_gone", "cut", "read_body", "serve"]
 
 
 async def serve(applications):
@@ -47,3 +47,10 @@
 def cut(send):
     """Close the connection without an answer; ASGI has no call for that."""
     send.__self__.transport.abort()
+
+
+async def cancel_when_gone(receive, scope):
+    """Cancel a scope once the sender of a request has closed its connection."""
+    while (await receive())["type"] != "http.disconnect":
+        continue
+    scope.cancel()
--- a/standins/target.py
+++ b/standins/target.py
@@ -5,7 +5,7 @@
 
 from turmericrudder.platform import names
 
-from .serving import answer, cut, read_body
+from .serving import answer, cancel_when_gone, cut, read_body
 
 __all__ = ["TargetApplication"]
 
@@ -81,7 +81,7 @@
         """Return whether the request ended before its client left."""
         finished = False
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
+            tasks.start_soon(cancel_when_gone, receive, tasks.cancel_scope)
             await anyio.sleep(self.work)
             finished = True
             tasks.cancel_scope.cancel()
@@ -94,9 +94,3 @@
             (names.INSTANCE_ID, self.target_id.encode()),
             (names.LOAD, load),
         ]
-
-
-async def _cancel_when_gone(receive, scope):
-    while (await receive())["type"] != "http.disconnect":
-        continue
-    scope.cancel()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -11,7 +11,7 @@
 from turmericrudder.ini import read_ini
 
 from .journal import Journal
-from .serving import answer, cut, read_body
+from .serving import answer, cancel_when_gone, cut, read_body
 
 __all__ = ["UpstreamApplication", "read_upstreams"]
 
@@ -132,7 +132,7 @@
             return
         seconds = self._get_seconds(scope["path"])
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
+            tasks.start_soon(cancel_when_gone, receive, tasks.cancel_scope)
             with anyio.move_on_after(_get_patience(headers)):
                 await anyio.sleep(seconds)
                 entry.finished = True
@@ -188,12 +188,6 @@
     ]
 
 
-async def _cancel_when_gone(receive, scope):
-    while (await receive())["type"] != "http.disconnect":
-        continue
-    scope.cancel()
-
-
 async def _truncate(send, content):
     length = (b"content-length", str(len(content)).encode())
     await send({"type": "http.response.start", "status": 200, "headers": [length]})
--- a/turmericrudder/events/buffered_handler.py
+++ b/turmericrudder/events/buffered_handler.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+import time
 from collections import deque
 
 from . import catalogue
@@ -61,12 +62,9 @@
             self._wakes.clear()
             if not self._is_closing:
                 # Lines that come meanwhile go into the same write.
-                self._pause()
+                time.sleep(FLUSH_PAUSE)
             self._write()
 
-    def _pause(self):
-        threading.Event().wait(FLUSH_PAUSE)
-
     def _write(self):
         lines = []
         while self._lines:
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -98,7 +98,7 @@
             method=scope["method"],
             target=target,
             headers=headers,
-            attempt_id=found.get(names.ATTEMPT_ID, b""),
+            attempt_id=found[names.ATTEMPT_ID],
             object_key=object_key.decode("latin-1") if object_key else None,
             route=route,
             service=instance.get_split(route).choose(route.backends),
--- a/turmericrudder/gateway/link_pool.py
+++ b/turmericrudder/gateway/link_pool.py
@@ -80,11 +80,6 @@
             if not waiting:
                 del self._idle[target_id]
 
-    def close(self):
-        """Close all idle connections."""
-        for target_id in list(self._idle):
-            self.forget(target_id)
-
 
 def _get_idle_limit(link):
     if link.keepalive is None:
--- a/turmericrudder/gateway/registry.py
+++ b/turmericrudder/gateway/registry.py
@@ -48,10 +48,10 @@
     """
 
     __slots__ = (
+        "_contact_at",
         "_held_back",
         "_instance",
         "_is_current",
-        "_contact_at",
         "_lost_at",
         "_peer_good_until",
         "_peers",
@@ -179,7 +179,6 @@
             if news.revision > self.log.revision:
                 items = {item.key: item for item in news.get_events()}
                 self._take_all(items, news.revision)
-                self._is_current = True
         elif self._is_current:
             for event in news.get_events():
                 self._apply(event)
--- a/turmericrudder/platform/names.py
+++ b/turmericrudder/platform/names.py
@@ -12,7 +12,6 @@
     "CALL_RESOLVE",
     "CALL_TRANSACTION",
     "CALL_WATCH",
-    "COLD_LEFT",
     "CONFIGURATION_KEY",
     "DEADLINE",
     "EVACUATION_PREFIX",
@@ -35,7 +34,6 @@
 LOAD = b"x-server-load"
 NOT_EXECUTED = b"x-not-executed"
 INSTANCE_ID = b"x-instance-id"
-COLD_LEFT = b"x-cold-ms"
 
 # Calls that arrive here.
 CALL_READY = "/turmericrudder/ready"
--- a/turmericrudder/steering/catalog.py
+++ b/turmericrudder/steering/catalog.py
@@ -46,14 +46,6 @@
         """Return the profile of a service, or ``None``."""
         return self._profiles.get(service)
 
-    def get_revision(self, target_id):
-        """Return the store's revision of a target's latest word, or 0."""
-        return self._revisions.get(target_id, 0)
-
-    def iter_ids(self):
-        """Yield the ids of all registered targets."""
-        yield from self._targets
-
     def get_record(self, target_id):
         """Return the record of a registered target, or ``None``."""
         return self._targets.get(target_id)
@@ -150,7 +142,7 @@
         self._cool(record, now, endpoint.cold_left)
         if service != endpoint.service:
             self._reindex(service)
-        self._reindex(endpoint.service)
+            self._reindex(endpoint.service)
 
     def _cool(self, record, now, seconds):
         if seconds > 0:
