Read every list of the store to its end in one place

Three places read the store's pages: the gateway's registry and the command line each with a loop of its own, and the entry daemon's monitor with none, so that it saw the first 500 of the platform's instances; the target is 710. The loop is now the client's. The new test failed before.

--- /dev/null
+++ b/tests/test_monitor.py
@@ -0,0 +1,48 @@
+"""The platform's list of instances, as the entry daemon reads it."""
+
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from standins.store import PAGE_ITEMS, StoreApplication
+from turmericrudder.address import Address
+from turmericrudder.daemon.monitor import Monitor
+from turmericrudder.gateway.listener import Listener
+from turmericrudder.platform import MetadataStore, names
+from turmericrudder.settings import TimingSettings
+from turmericrudder.store import InstanceRecord
+
+STORE = Address("127.0.20.4", 21991)
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.anyio
+async def test_list_is_read_to_its_end():
+    """The target's 710 instances do not fit into one page of the store."""
+    application = StoreApplication(0.0)
+    application.limits = None
+    for number in range(PAGE_ITEMS + 10):
+        name = f"n{number:04d}"
+        record = InstanceRecord(name, "entry", "d", "live", f"10.0.0.1:{number + 1}")
+        key = names.INSTANCE_PREFIX + name
+        application.put_document(key, msgspec.to_builtins(record))
+    listener = Listener(application, STORE)
+    await listener.open()
+    store = MetadataStore(STORE)
+    seeds = []
+    monitor = Monitor(
+        SimpleNamespace(timing=TimingSettings()),
+        SimpleNamespace(pool=SimpleNamespace(get_states=lambda: [])),
+        SimpleNamespace(add_seed=seeds.append),
+        None,
+        store,
+    )
+    await monitor._read_list()
+    await store.aclose()
+    listener.close()
+    assert len(seeds) == PAGE_ITEMS + 10
--- a/turmericrudder/cli/platform.py
+++ b/turmericrudder/cli/platform.py
@@ -107,29 +107,23 @@
         await store.aclose()
 
 
-async def _get_range(address, prefix):
+async def _get_all(address, prefix):
     store = MetadataStore(Address.parse(address))
-    items, after = [], ""
     try:
-        while True:
-            page = await store.get_range(prefix, after)
-            items += page.items
-            if not page.has_more or not page.items:
-                return items
-            after = page.items[-1].key
+        return (await store.get_all(prefix)).items
     finally:
         await store.aclose()
 
 
 async def _get_targets(address):
     catalog = Catalog()
-    for item in await _get_range(address, names.EVACUATION_PREFIX):
+    for item in await _get_all(address, names.EVACUATION_PREFIX):
         catalog.evacuate(item.key[len(names.EVACUATION_PREFIX) :])
     configured = await _get(address, names.CONFIGURATION_KEY)
     if configured is not None:
         catalog.set_profiles(decode_configuration(configured.value).services)
     rows = []
-    for item in await _get_range(address, names.TARGET_PREFIX):
+    for item in await _get_all(address, names.TARGET_PREFIX):
         name = item.key[len(names.TARGET_PREFIX) :]
         try:
             endpoint = decode_endpoint(item.key, item.value)
@@ -164,7 +158,7 @@
 
 async def _get_members(address):
     rows = []
-    for item in await _get_range(address, names.MEMBER_PREFIX):
+    for item in await _get_all(address, names.MEMBER_PREFIX):
         name = item.key[len(names.MEMBER_PREFIX) :]
         row = {"name": name, "revision": item.revision}
         try:
--- a/turmericrudder/daemon/monitor.py
+++ b/turmericrudder/daemon/monitor.py
@@ -72,7 +72,7 @@
 
     async def _read_list(self):
         try:
-            page = await self._store.get_range(names.INSTANCE_PREFIX)
+            page = await self._store.get_all(names.INSTANCE_PREFIX)
             records = [
                 msgspec.json.decode(item.value, type=InstanceRecord)
                 for item in page.items
--- a/turmericrudder/gateway/registry.py
+++ b/turmericrudder/gateway/registry.py
@@ -126,16 +126,9 @@
         return anyio.current_time() >= self._peer_good_until
 
     async def _read_all(self):
-        items, start, after = {}, None, ""
-        while True:
-            page = await self._store.get_range(ALL_KEYS, after)
-            start = page.revision if start is None else min(start, page.revision)
-            items |= {item.key: item for item in page.items}
-            if not page.has_more or not page.items:
-                break
-            after = page.items[-1].key
+        found = await self._store.get_all(ALL_KEYS)
         self._note_reached()
-        self._take_all(items, start)
+        self._take_all({item.key: item for item in found.items}, found.revision)
 
     async def _read_changes(self):
         after = self.log.revision
--- a/turmericrudder/platform/store.py
+++ b/turmericrudder/platform/store.py
@@ -115,6 +115,21 @@
             tuple(map(_to_item, page.items)), page.store_revision, page.has_more
         )
 
+    async def get_all(self, prefix):
+        """Return a :class:`Page` of all keys with a prefix, read page by page.
+
+        :returns: its revision is that of the first page; what changed since may
+            or may not be in it.
+        """
+        items, revision, after = {}, None, ""
+        while True:
+            page = await self.get_range(prefix, after)
+            revision = page.revision if revision is None else revision
+            items |= {item.key: item for item in page.items}
+            if not page.has_more or not page.items:
+                return Page(tuple(items.values()), revision, False)
+            after = page.items[-1].key
+
     async def watch(self, prefix, after, wait):
         """Return the :class:`Changes` after a revision, waiting for the first.
 
