--- /dev/null
+++ b/tests/test_platform_commands.py
@@ -0,0 +1,114 @@
+"""The operators' commands on the platform's store and on log files."""
+
+import sys
+from subprocess import PIPE
+
+import anyio
+import msgspec
+import pytest
+
+from turmericrudder.cli.exits import ExitCode
+
+from .platform_rig import HOST, Rig, make_registration
+
+
+@pytest.fixture(scope="module")
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture(scope="module")
+async def rig(anyio_backend, tmp_path_factory):
+    async with Rig(21600, tmp_path_factory.mktemp("commands")) as rig:
+        port = rig.get_target_port(0)
+        await rig.put(
+            {
+                "servers/leaves": make_registration(port, state="draining"),
+                "servers/away": make_registration(port, zone="b1"),
+                "servers/odd": make_registration(port, service="s9"),
+                "servers/bad": {"service": 7},
+                "op/evacuate/b1": {},
+                "members/bad": {},
+            }
+        )
+        yield rig
+
+
+async def run(*arguments):
+    """Return (exit code, standard output as text) of a command."""
+    command = [sys.executable, "-m", "turmericrudder", *arguments]
+    result = await anyio.run_process(command, check=False, stderr=PIPE)
+    return result.returncode, result.stdout.decode()
+
+
+async def show(rig, name, *more):
+    code, text = await run(
+        "platform", name, "--store", f"{HOST}:{rig.get_port(0)}", *more
+    )
+    assert code == 0
+    return text
+
+
+@pytest.mark.anyio
+async def test_targets_and_why_each_is_used_or_not(rig):
+    rows = msgspec.json.decode(await show(rig, "targets", "--json"))
+    use = {row["target"]: row["use"] for row in rows}
+    assert use["t0"] == "yes"
+    assert use["leaves"] == "no: draining"
+    assert use["away"] == "no: its failure domain is evacuated"
+    assert use["odd"] == "no: the configuration has no such service"
+    assert use["bad"].startswith("no: registration 'servers/bad'")
+    table = (await show(rig, "targets")).splitlines()
+    assert table[0].split() == [
+        "TARGET",
+        "SERVICE",
+        "FAILURE",
+        "DOMAIN",
+        "SLOTS",
+        "USE",
+    ]
+    assert any(line.split() == ["t0", "s1", "a1", "4", "yes"] for line in table)
+
+
+@pytest.mark.anyio
+async def test_members_evacuations_and_configuration(rig):
+    members = msgspec.json.decode(await show(rig, "members", "--json"))
+    assert {row["name"] for row in members} == {"bad", f"g{rig.base}"}
+    assert any("error" in row for row in members)
+    assert f"{HOST}:{rig.get_port(1)}" in await show(rig, "members")
+    assert (await show(rig, "evacuations")).split() == ["b1"]
+    configuration = msgspec.json.decode(await show(rig, "configuration", "--json"))
+    assert [route["name"] for route in configuration["routes"]] == ["r1", "r2", "r3"]
+    assert "/write/" in await show(rig, "configuration")
+
+
+@pytest.mark.anyio
+async def test_settings_are_checked(rig, tmp_path):
+    good = rig.directory / "gateway0.ini"
+    code, text = await run("platform", "check", str(good))
+    assert code == 0 and "no error" in text
+    bad = tmp_path / "bad.ini"
+    bad.write_text(good.read_text().replace("grace = 4s", "grace = soon"))
+    code, _ = await run("platform", "check", str(bad))
+    assert code == ExitCode.SETTINGS_INVALID
+
+
+@pytest.mark.anyio
+async def test_request_is_explained_from_its_id(rig):
+    for target in rig.targets:
+        target.fault.lose_answers = 1
+    assert (await rig.ask("/write/x", "POST", attempt_id="lost")).status == 502
+    await anyio.sleep(0.5)
+    code, text = await run("explain", "lost", str(rig.log))
+    assert code == 0
+    assert "route_sent" in text and "target=t" in text
+    assert "route_refused with status 502" in text
+    code, text = await run("explain", "lost", str(rig.log), "--json")
+    found = msgspec.json.decode(text)
+    assert [line["name"] for line in found["lines"]] == [
+        "route_sent",
+        "route_ended",
+        "route_refused",
+    ]
+    code, text = await run("explain", "nobody", str(rig.log))
+    assert code == 1 and "no line has this id" in text
--- a/turmericrudder/cli/platform.py
+++ b/turmericrudder/cli/platform.py
@@ -59,38 +59,21 @@
 @app.command()
 def targets(store: str = _STORE, as_json: bool = _JSON) -> None:
     """Show targets and why each one is used or not."""
-    rows = anyio.run(_get_targets, store)
-    if as_json:
-        typer.echo(msgspec.json.encode(rows).decode())
-        return
-    typer.echo(f"{'TARGET':<16}{'SERVICE':<16}{'DOMAIN':<22}{'SLOTS':>5}  USE")
-    for row in rows:
-        typer.echo(
-            f"{row['target']:<16}{row.get('service', ''):<16}"
-            f"{row.get('failure_domain', ''):<22}{row.get('slots', ''):>5}  "
-            f"{row['use']}"
-        )
+    columns = {"target": 16, "service": 16, "failure_domain": 22, "slots": 6, "use": 0}
+    _show(anyio.run(_get_targets, store), columns, as_json)
 
 
 @app.command()
 def members(store: str = _STORE, as_json: bool = _JSON) -> None:
     """Show the entry instances that are registered."""
-    rows = anyio.run(_get_members, store)
-    if as_json:
-        typer.echo(msgspec.json.encode(rows).decode())
-        return
-    typer.echo(f"{'INSTANCE':<28}{'ADDRESS':<24}{'DOMAIN':<22}REVISION")
-    for row in rows:
-        typer.echo(
-            f"{row['name']:<28}{row.get('address', ''):<24}"
-            f"{row.get('failure_domain', row.get('error', '')):<22}{row['revision']}"
-        )
+    columns = {"name": 28, "address": 24, "failure_domain": 22, "revision": 10}
+    _show(anyio.run(_get_members, store), columns | {"error": 0}, as_json)
 
 
 @app.command()
 def evacuations(store: str = _STORE, as_json: bool = _JSON) -> None:
     """Show the failure domains that get no new work."""
-    items = anyio.run(_get_range, store, names.EVACUATION_PREFIX)
+    items = anyio.run(_get_all, store, names.EVACUATION_PREFIX)
     found = [item.key[len(names.EVACUATION_PREFIX) :] for item in items]
     if as_json:
         typer.echo(msgspec.json.encode(found).decode())
@@ -99,6 +82,20 @@
         typer.echo(name)
 
 
+def _show(rows, columns, as_json):
+    """Print rows as JSON, or as a table.
+
+    :param columns: {key of a row: width in characters}, in order.
+    """
+    if as_json:
+        typer.echo(msgspec.json.encode(rows).decode())
+        return
+    titles = {key: key.replace("_", " ").upper() for key in columns}
+    for row in (titles, *rows):
+        cells = (f"{row.get(key, '')!s:<{width}}" for key, width in columns.items())
+        typer.echo("".join(cells).rstrip())
+
+
 async def _get(address, key):
     store = MetadataStore(Address.parse(address))
     try:
