Write once how HTTP calls fail, their time limits and a unit

Six modules listed the same three httpcore errors, five built the same table of limits, and nineteen had the milliseconds of a second. turmericrudder/http.py and units.py hold them. No behaviour changes.

--- a/bench/experiments/shift_cap.py
+++ b/bench/experiments/shift_cap.py
@@ -17,7 +17,6 @@
 SECONDS = 14.0
 LOST = ("piedmont-a-1", "piedmont-b-1")
 LATENCY_BOUND = 1.2
-MS_PER_SECOND = 1000
 REGIONS = ("gulf", "delta")
 
 
--- a/bench/experiments/speed.py
+++ b/bench/experiments/speed.py
@@ -8,6 +8,7 @@
 
 from turmericrudder.caller import Caller
 from turmericrudder.forwarding import Answered, Links
+from turmericrudder.units import MS_PER_SECOND
 
 from ..cluster import Cluster
 from ..lookup_load import LookupPlan, run_lookups
@@ -26,7 +27,6 @@
 SECONDS = 6.0
 READS = 400
 ENTRY = "gulf-b-1"
-MS_PER_SECOND = 1000
 
 
 async def run(seed):
--- a/bench/sample.py
+++ b/bench/sample.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-__all__ = ["Sample", "count_ends", "get_quantile_ms"]
+from turmericrudder.units import MS_PER_SECOND
 
-MS_PER_SECOND = 1000
+__all__ = ["Sample", "count_ends", "get_quantile_ms"]
 
 
 class Sample(msgspec.Struct, frozen=True):
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,8 @@
 import anyio
 import httpcore
 
+from turmericrudder.http import HTTP_FAILURES, make_timeouts
+
 from .ledger import Answer, Ledger
 from .proxy import Harm
 from .world import HOST, World
@@ -216,7 +218,6 @@
             "X-Affinity-Key": str(number % 20),
             "X-Deadline-Ms": "3000",
         }
-        limits = dict.fromkeys(("connect", "read", "write", "pool"), CLIENT_TIMEOUT)
         status, is_own = None, False
         try:
             response = await pool.request(
@@ -224,13 +225,9 @@
                 f"http://{HOST}:{self._world.get_client_port(gateway)}{path}",
                 headers=headers,
                 content=b"" if is_idempotent else b"body",
-                extensions={"timeout": limits},
+                extensions=make_timeouts(CLIENT_TIMEOUT),
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-        ):
+        except HTTP_FAILURES:
             response = None
         if response is not None:
             status = response.status
--- a/standins/store.py
+++ b/standins/store.py
@@ -11,6 +11,7 @@
 from turmericrudder.platform import names
 from turmericrudder.routing import TokenBucket
 from turmericrudder.store import InstanceRecord
+from turmericrudder.units import MS_PER_SECOND
 
 from .serving import answer, read_body
 
@@ -21,7 +22,6 @@
 WRITES_PER_SECOND = 400
 PAGE_ITEMS = 500
 HISTORY = 10_000  # changes kept for watches
-MS_PER_SECOND = 1000
 _WRITES = (names.CALL_TRANSACTION, names.CALL_LEASE)
 
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -9,8 +9,6 @@
 
 __all__ = ["TargetApplication"]
 
-MS_PER_SECOND = 1000
-
 
 class TargetFault(msgspec.Struct):
     """What goes wrong now.
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -9,6 +9,7 @@
 
 from turmericrudder.errors import SettingsInvalid
 from turmericrudder.ini import read_ini
+from turmericrudder.units import MS_PER_SECOND
 
 from .journal import Journal
 from .serving import answer, cancel_when_gone, cut, read_body
@@ -19,7 +20,6 @@
 DRAIN_STATUS = 503
 DEADLINE = b"turmericrudder-deadline-ms"
 KEY = b"idempotency-key"
-MS_PER_SECOND = 1000
 CHUNK_BYTES = 16 * 1024
 
 
--- a/turmericrudder/caller/caller.py
+++ b/turmericrudder/caller/caller.py
@@ -13,6 +13,7 @@
 from ..forwarding.headers import VERDICT, get_header
 from ..forwarding.links import Links
 from ..lookup import LookupAnswer
+from ..units import MS_PER_SECOND
 from .answer import CallerAnswer
 from .errors import AnswerLost, NoAnswer, RequestNotRun
 
@@ -25,7 +26,6 @@
 # An entry instance that refuses has asked its peers already.
 REFUSALS_PER_ROUND = 2
 MIN_LEFT = 0.001  # seconds
-MS_PER_SECOND = 1000
 
 
 class Caller:
--- a/turmericrudder/cli/session.py
+++ b/turmericrudder/cli/session.py
@@ -10,6 +10,7 @@
 from ..configuration import Repository
 from ..daemon.status import InstanceStatus
 from ..errors import PeerUnreachable
+from ..http import make_timeouts
 from ..platform import MetadataStore
 from ..settings import read_operator_settings
 
@@ -55,14 +56,13 @@
         :raises PeerUnreachable: if it does not answer.
         """
         headers = {"Turmericrudder-Peer-Key": self.settings.peer_key}
-        limits = dict.fromkeys(("connect", "read", "write", "pool"), STATUS_TIMEOUT)
         try:
             async with httpcore.AsyncConnectionPool() as pool:
                 response = await pool.request(
                     "GET",
                     f"http://{address}/status",
                     headers=headers,
-                    extensions={"timeout": limits},
+                    extensions=make_timeouts(STATUS_TIMEOUT),
                 )
         except (httpcore.NetworkError, httpcore.TimeoutException) as exc:
             raise PeerUnreachable(f"{address}: {exc!r}") from None
--- a/turmericrudder/daemon/application.py
+++ b/turmericrudder/daemon/application.py
@@ -26,12 +26,12 @@
 )
 from ..forwarding.headers import DEADLINE, KEY, get_header, strip_headers
 from ..routing import Work
+from ..units import MS_PER_SECOND
 from ..verdict import Verdict
 
 __all__ = ["CallerApplication", "get_verdict"]
 
 RETRY_AFTER = 1  # seconds
-MS_PER_SECOND = 1000
 MAX_PATH_BYTES = 8192
 
 
--- a/turmericrudder/daemon/monitor.py
+++ b/turmericrudder/daemon/monitor.py
@@ -7,6 +7,7 @@
 from ..control import TargetsLeaving
 from ..errors import StoreError
 from ..forwarding.dispatcher import Report
+from ..http import HTTP_FAILURES, make_timeouts
 from ..platform import names
 from ..store import InstanceRecord
 
@@ -106,17 +107,11 @@
     async def _probe(self, state):
         target = state.target
         url = f"http://{target.address}{state.service.load_path}"
-        limits = dict.fromkeys(("connect", "read", "write", "pool"), PROBE_TIMEOUT)
         try:
             response = await self._pool.request(
-                "GET", url, extensions={"timeout": limits}
+                "GET", url, extensions=make_timeouts(PROBE_TIMEOUT)
             )
             report = msgspec.json.decode(response.content, type=LoadReport)
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-            msgspec.DecodeError,
-        ):
-            return
+        except (*HTTP_FAILURES, msgspec.DecodeError):
+            return  # without a report, the owner's own counts decide
         self._dispatcher.tell(Report(target.name, report.in_flight, report.draining))
--- a/turmericrudder/daemon/peer_application.py
+++ b/turmericrudder/daemon/peer_application.py
@@ -17,13 +17,12 @@
 )
 from ..forwarding.peer_runner import ROLE_HOME
 from ..operation import KeyInvalid, OperationKey
+from ..units import MS_PER_SECOND
 from ..verdict import Verdict
 from .application import get_verdict, make_request, raise_unless_passed, split_service
 
 __all__ = ["PeerApplication"]
 
-MS_PER_SECOND = 1000
-
 
 class PeerApplication:
     """Takes forwarded requests and serves configuration parts and status."""
--- a/turmericrudder/forwarding/connection.py
+++ b/turmericrudder/forwarding/connection.py
@@ -3,6 +3,7 @@
 import anyio
 import httpcore
 
+from ..http import HTTP_FAILURES, make_timeouts
 from .exchange import Answered, NoAnswer, NotSent
 
 __all__ = ["Connection"]
@@ -11,11 +12,6 @@
 KEEPALIVE = 20.0  # seconds
 
 _CONNECT_FAILURES = (httpcore.ConnectError, httpcore.ConnectTimeout)
-_FAILURES = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
 _BODYLESS_STATUSES = (204, 304)
 
 
@@ -68,7 +64,7 @@
         except TimeoutError:
             await self.aclose()
             return NoAnswer("first_byte") if sent.has_connected else NotSent("connect")
-        except _FAILURES as exc:
+        except HTTP_FAILURES as exc:
             await self.aclose()
             return NoAnswer(type(exc).__name__)
         if not _is_delimited(method, response):
@@ -86,19 +82,13 @@
             port=self._address.port,
             target=path,
         )
-        timeout = {
-            "connect": CONNECT_TIMEOUT,
-            "read": idle,
-            "write": idle,
-            "pool": CONNECT_TIMEOUT,
-        }
         host = (b"host", str(self._address).encode())
         return httpcore.Request(
             method,
             url,
             headers=[host, *headers],
             content=content,
-            extensions={"timeout": timeout},
+            extensions=make_timeouts(CONNECT_TIMEOUT, read=idle, write=idle),
         )
 
 
--- a/turmericrudder/forwarding/exchange.py
+++ b/turmericrudder/forwarding/exchange.py
@@ -3,18 +3,12 @@
 from dataclasses import dataclass
 
 import anyio
-import httpcore
 
 from ..errors import UpstreamCut
+from ..http import HTTP_FAILURES
 
 __all__ = ["Answered", "NoAnswer", "NotSent"]
 
-BODY_FAILURES = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
-
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
@@ -79,5 +73,5 @@
                 if chunk is None:
                     return
                 yield chunk
-        except BODY_FAILURES as exc:
+        except HTTP_FAILURES as exc:
             raise UpstreamCut(f"{type(exc).__name__}: {exc}") from exc
--- a/turmericrudder/forwarding/head.py
+++ b/turmericrudder/forwarding/head.py
@@ -2,11 +2,11 @@
 
 import anyio
 
+from ..units import MS_PER_SECOND
 from .headers import DEADLINE, KEY
 
 __all__ = ["get_left", "get_limits", "get_upstream_headers"]
 
-MS_PER_SECOND = 1000
 MIN_LEFT = 0.001  # seconds
 
 
--- a/turmericrudder/forwarding/peer_runner.py
+++ b/turmericrudder/forwarding/peer_runner.py
@@ -3,6 +3,7 @@
 import anyio
 
 from ..events import catalogue
+from ..units import MS_PER_SECOND
 from ..verdict import Verdict
 from .exchange import NoAnswer, NotSent
 from .head import get_limits, get_upstream_headers
@@ -13,7 +14,6 @@
 
 # A peer answers by itself shortly after the deadline; this is for silent ones.
 MARGIN = 0.25  # seconds
-MS_PER_SECOND = 1000
 ROLE_OWNER = b"owner"
 ROLE_HOME = b"home"
 
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -6,6 +6,7 @@
 from ..events import catalogue
 from ..interrupt import Interrupted, run_until
 from ..platform import names
+from ..units import MS_PER_SECOND
 from .body_reader import BodyReader
 from .client_request import ClientRequest
 from .outcome import Refusal, Streaming, Whole
@@ -13,7 +14,6 @@
 
 __all__ = ["ClientApplication"]
 
-MS_PER_SECOND = 1000
 CONFIGURATION_WAIT = 0.4  # seconds a request waits for the first configuration
 
 
--- a/turmericrudder/gateway/client_request.py
+++ b/turmericrudder/gateway/client_request.py
@@ -5,11 +5,11 @@
 from ..hop import get_hop_headers
 from ..platform import names
 from ..steering import Route
+from ..units import MS_PER_SECOND
 from .request_log import RequestTrail
 
 __all__ = ["ClientRequest"]
 
-MS_PER_SECOND = 1000
 # Set here, whatever the client sent.
 _REPLACED = frozenset((b"content-length", names.DEADLINE, names.EXPECTED_INSTANCE))
 
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -8,13 +8,13 @@
 from ..events import catalogue
 from ..platform import names
 from ..steering import Chosen, NoTarget, Query, RetryAllowance, ServerLoad
+from ..units import MS_PER_SECOND
 from .course import Course
 from .outcome import Broken, Refused, Streaming, TurnedAway, Whole
 
 __all__ = ["Forwarder"]
 
 WHOLE_BYTES = 256 * 1024  # longest answer that is read before it is passed on
-MS_PER_SECOND = 1000
 
 
 class Forwarder:
--- a/turmericrudder/gateway/peer_link.py
+++ b/turmericrudder/gateway/peer_link.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from ..errors import PeerUnreachable
+from ..http import HTTP_FAILURES, make_timeouts
 from ..platform import Deletion, Item
+from ..units import MS_PER_SECOND
 from .service_applications import Application
 
 __all__ = ["PeerApplication", "PeerClient", "PeerNews"]
@@ -17,7 +19,6 @@
 MARGIN = 0.5  # seconds beyond the wait; several round trips between regions
 MAX_WAIT_MS = 5000
 MAX_CONNECTIONS = 4
-MS_PER_SECOND = 1000
 
 
 class _Entry(msgspec.Struct, array_like=True):
@@ -91,19 +92,14 @@
         :param wait: seconds to wait for news.
         :raises PeerUnreachable: if no useful answer came.
         """
-        limits = dict.fromkeys(("connect", "write", "pool"), MARGIN)
-        limits["read"] = wait + MARGIN
+        wait_ms = int(wait * MS_PER_SECOND)
         try:
             response = await self._pool.request(
                 "GET",
-                f"http://{address}{PATH}?after={after}&wait_ms={int(wait * 1000)}",
-                extensions={"timeout": limits},
+                f"http://{address}{PATH}?after={after}&wait_ms={wait_ms}",
+                extensions=make_timeouts(MARGIN, read=wait + MARGIN),
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-        ) as exc:
+        except HTTP_FAILURES as exc:
             raise PeerUnreachable(f"{address}: {exc!r}") from None
         if response.status != 200:
             raise PeerUnreachable(f"{address}: status {response.status}")
--- a/turmericrudder/gateway/reply.py
+++ b/turmericrudder/gateway/reply.py
@@ -4,11 +4,11 @@
 
 from ..events import catalogue
 from ..platform import names
+from ..units import MS_PER_SECOND
 from .request_log import RequestTrail
 
 __all__ = ["Reply"]
 
-MS_PER_SECOND = 1000
 _DROPPED = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"upgrade")
 )
--- /dev/null
+++ b/turmericrudder/http.py
@@ -0,0 +1,23 @@
+"""What all calls over httpcore have in common."""
+
+import httpcore
+
+__all__ = ["HTTP_FAILURES", "make_timeouts"]
+
+# How a call can end without a whole answer.
+HTTP_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+def make_timeouts(seconds, **others):
+    """Return a request's extensions with its time limits.
+
+    :param seconds: limit on connecting, reading, writing and waiting for a
+        connection.
+    :param others: limits on some of these that differ.
+    """
+    limits = dict.fromkeys(("connect", "read", "write", "pool"), seconds)
+    return {"timeout": limits | others}
--- a/turmericrudder/platform/configuration.py
+++ b/turmericrudder/platform/configuration.py
@@ -11,11 +11,10 @@
     RoutingConfiguration,
     ServiceProfile,
 )
+from ..units import MS_PER_SECOND
 
 __all__ = ["decode_configuration"]
 
-MS_PER_SECOND = 1000
-
 
 class _Table(msgspec.Struct):
     """Rows of values in the order of the columns; ``null`` means omitted."""
--- a/turmericrudder/platform/store.py
+++ b/turmericrudder/platform/store.py
@@ -16,6 +16,8 @@
     ValueTooLarge,
     VersionConflict,
 )
+from ..http import HTTP_FAILURES, make_timeouts
+from ..units import MS_PER_SECOND
 from . import names
 from .records import Changes, Deletion, Item, Page
 
@@ -38,12 +40,6 @@
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
 
-_FAILURES = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-)
-
 
 class _ItemDocument(msgspec.Struct):
     key: str
@@ -138,7 +134,7 @@
         """
         path = (
             f"{names.CALL_WATCH}?prefix={quote(prefix, safe='/')}"
-            f"&after={after}&wait_ms={int(wait * 1000)}"
+            f"&after={after}&wait_ms={int(wait * MS_PER_SECOND)}"
         )
         response = await self._call("GET", path, timeout=wait + WATCH_MARGIN)
         if response.status == 410:
@@ -171,7 +167,7 @@
 
     async def grant_lease(self, ttl):
         """Return the id of a new lease that lives for ``ttl`` seconds."""
-        body = {"ttl_ms": int(ttl * 1000)}
+        body = {"ttl_ms": int(ttl * MS_PER_SECOND)}
         response = await self._call("POST", names.CALL_LEASE, body)
         self._check(response, names.CALL_LEASE)
         return self._decode(response, _LeaseDocument).lease
@@ -196,8 +192,6 @@
 
     async def _call(self, method, path, body=None, timeout=TIMEOUT):
         self.call_count += 1
-        limits = dict.fromkeys(("connect", "pool"), TIMEOUT)
-        limits |= dict.fromkeys(("read", "write"), timeout)
         headers, content = [], None
         if body is not None:
             headers = [(b"content-type", b"application/json")]
@@ -208,9 +202,9 @@
                 self._url + path,
                 headers=headers,
                 content=content,
-                extensions={"timeout": limits},
+                extensions=make_timeouts(TIMEOUT, read=timeout, write=timeout),
             )
-        except _FAILURES as exc:
+        except HTTP_FAILURES as exc:
             raise StoreUnavailable(f"{method} {path}: {exc!r}") from exc
 
     def _check(self, response, path):
--- a/turmericrudder/platform/targets.py
+++ b/turmericrudder/platform/targets.py
@@ -7,12 +7,11 @@
 from ..address import Address
 from ..errors import AddressInvalid, EntryInvalid
 from ..steering import Endpoint
+from ..units import MS_PER_SECOND
 from .names import TARGET_PREFIX
 
 __all__ = ["decode_endpoint", "get_target_id"]
 
-MS_PER_SECOND = 1000
-
 
 class _TargetDocument(msgspec.Struct):
     service: str
--- a/turmericrudder/steering/target_record.py
+++ b/turmericrudder/steering/target_record.py
@@ -1,5 +1,6 @@
 """What this instance knows of one target beyond its registration."""
 
+from ..units import MS_PER_SECOND
 from .cold_gate import ColdGate
 from .recent_objects import RecentObjects
 
@@ -92,7 +93,9 @@
 
     def get_load_age_ms(self, now):
         """Return the age of the last load report, or ``None`` without one."""
-        return round((now - self._others_at) * 1000) if self._others_at else None
+        return (
+            round((now - self._others_at) * MS_PER_SECOND) if self._others_at else None
+        )
 
     def get_failure_share(self, now):
         """Return the share of requests that failed or were turned away."""
