Look at each target once for a choice

The region of a target, its occupancy and its slots were worked out up to six times for one request, in as many passes, and the price of the other side for each target. Now the targets are split by region once, what all prices have in common is one record, and the round trip that was used is the one that is told.

--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -89,9 +89,8 @@
         record.start(ticket, anyio.current_time())
         link, outcome = None, None
         try:
-            round_trip = self._balancer.get_round_trip(record)
             must_be_sound = not request.route.is_idempotent
-            link = await self._pool.take(record, round_trip, must_be_sound)
+            link = await self._pool.take(record, choice.round_trip, must_be_sound)
             now = anyio.current_time()
             course.note_sent()
             _note_sent(request, choice, now, link.exchanges == 0)
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from dataclasses import dataclass
 
 from ..rendezvous import get_score, get_uniform
 from .choice import Chosen, NoTarget, Obstacle
@@ -32,6 +33,21 @@
 CROWD_WEIGHT = 1.0  # what a busy service adds to the price of its targets' time
 
 
+@dataclass(frozen=True, slots=True)
+class _Outlook:
+    """What the prices of all targets have in common for one request.
+
+    :param crowd: requests for each slot of the region's targets.
+    :param side: whether the object's side is another region.
+    :param side_price: seconds that a target on the other side costs more.
+    """
+
+    estimate: WorkEstimate
+    crowd: float
+    side: bool
+    side_price: float
+
+
 class Balancer:
     """Pure decisions over the catalog's records.
 
@@ -99,12 +115,6 @@
             self._plans[query.service].note(chosen.work, now)
         self._shift.note(chosen.is_away, now)
 
-    def get_round_trip(self, record):
-        """Return the seconds there and back."""
-        if record.round_trip is not None:
-            return record.round_trip
-        return PRIOR_FAR if self._is_away(record) else PRIOR_NEAR
-
     def _is_allowed(self, record, query):
         homes = query.route.home_regions
         if homes and self._get_region(record) not in homes:
@@ -123,57 +133,87 @@
         )
 
     def _get_cheapest(self, query, records, now):
-        places = self._get_places(query, records)
-        crowd = self._get_crowd(records, now)
-        goes_away = self._goes_away(query, records, now)
-        estimate = self.get_estimate(query.route)
-        best_away = best_at_home = None
+        near, far = [], []
         for record in records:
-            chosen = self._weigh(query, record, places, crowd, goes_away, estimate, now)
-            if chosen.is_away:
-                if best_away is None or chosen.cost < best_away.cost:
-                    best_away = chosen
-            elif best_at_home is None or chosen.cost < best_at_home.cost:
-                best_at_home = chosen
-        if best_away is None or best_at_home is None:
-            return best_away or best_at_home
-        if best_away.cost < best_at_home.cost:
-            return best_away if self._shift.may_leave(now) else best_at_home
-        return best_at_home if self._shift.may_stay(now) else best_away
+            group = far if self._is_away(record) else near
+            group.append((record, record.get_occupancy(now)))
+        outlook = self._look_out(query, near, far, now)
+        chosen = {False: None, True: None}
+        for is_away, group in ((False, near), (True, far)):
+            for place, (record, occupancy) in enumerate(self._rank(query, group)):
+                found = self._weigh(
+                    query, record, occupancy, place, is_away, outlook, now
+                )
+                best = chosen[is_away]
+                if best is None or found.cost < best.cost:
+                    chosen[is_away] = found
+        at_home, away = chosen[False], chosen[True]
+        if at_home is None or away is None:
+            return at_home or away
+        if away.cost < at_home.cost:
+            return away if self._shift.may_leave(now) else at_home
+        return at_home if self._shift.may_stay(now) else away
 
-    def _weigh(self, query, record, places, crowd, goes_away, estimate, now):
-        place = places.get(record.endpoint.id, 0)
+    def _look_out(self, query, near, far, now):
+        """Return what the prices of all targets have in common."""
+        slots = occupied = 0
+        for record, occupancy in near:
+            slots += record.endpoint.slots
+            occupied += min(occupancy, MAX_CROWD * record.endpoint.slots)
+        all_slots = slots + sum(record.endpoint.slots for record, _ in far)
+        around = Surroundings(slots, all_slots, *self._members.counts)
+        estimate = self.get_estimate(query.route)
+        return _Outlook(
+            estimate=estimate,
+            crowd=occupied / slots if slots else 1.0,
+            side=self._goes_away(query, around, now),
+            side_price=SIDE_WEIGHT * (estimate.get(OTHER) - estimate.get_seen()),
+        )
+
+    def _rank(self, query, group):
+        """Return a group in the object's order of targets.
+
+        All instances find the same order, so what one of them has made a
+        target handle is where the others look for it.
+        """
+        if query.object_key is None:
+            return group
+        scores = self._get_scores(query)
+        key = f"{query.route.name}/{query.object_key}"
+        for record, _ in group:
+            target_id = record.endpoint.id
+            if target_id not in scores:
+                scores[target_id] = get_score(key, target_id, record.endpoint.slots)
+        return sorted(
+            group,
+            key=lambda item: (-scores[item[0].endpoint.id], item[0].endpoint.id),
+        )
+
+    def _weigh(self, query, record, occupancy, place, is_away, outlook, now):
         key = self._get_work_key(query, record, place)
         slots = record.endpoint.slots
         slowdown = record.get_slowdown(now)
         if record.is_cold(now):
             slowdown *= COLD_SLOWDOWN
-        work = estimate.get(key) * slowdown
-        round_trip = self.get_round_trip(record)
+        work = outlook.estimate.get(key) * slowdown
+        round_trip = record.round_trip
+        if round_trip is None:
+            round_trip = PRIOR_FAR if is_away else PRIOR_NEAR
         wait = 0.0
-        surplus = record.get_occupancy(now) + 1 - slots
+        surplus = occupancy + 1 - slots
         if surplus > 0:
             wait = surplus * (record.mean_work or work) / slots
         expected = round_trip + wait + work
-        cost = expected + CROWD_WEIGHT * crowd**2 * work
-        if self._is_away(record) is not goes_away:
-            cost += SIDE_WEIGHT * (estimate.get(OTHER) - estimate.get_seen())
+        cost = expected + CROWD_WEIGHT * outlook.crowd**2 * work
+        if is_away is not outlook.side:
+            cost += outlook.side_price
         cost += self._get_lateness(query, expected, now)
         cost += record.get_failure_share(now) * query.route.objective
         cost += record.get_stall(now, work)
         if query.object_key is not None:
             cost *= 1.0 + PLACE_WEIGHT * min(place, MAX_PLACE)
         cost *= 1.0 + JITTER * self._random.random()
-        return Chosen(
-            record,
-            expected,
-            round_trip,
-            work,
-            slowdown,
-            cost,
-            key,
-            self._is_away(record),
-        )
+        return Chosen(record, expected, round_trip, work, slowdown, cost, key, is_away)
 
     def _get_lateness(self, query, expected, now):
         """Return the price of an answer that may miss its objective."""
@@ -190,34 +230,6 @@
             return age
         return FIRST if place == 0 else OTHER
 
-    def _get_places(self, query, records):
-        """Return {target id: its place in the object's order}, near and far.
-
-        All instances find the same order, so what one of them has made a
-        target handle is where the others look for it.
-        """
-        if query.object_key is None:
-            return {}
-        scores = self._get_scores(query)
-        near, far = [], []
-        for record in records:
-            target_id = record.endpoint.id
-            score = scores.get(target_id)
-            if score is None:
-                score = scores[target_id] = get_score(
-                    f"{query.route.name}/{query.object_key}",
-                    target_id,
-                    record.endpoint.slots,
-                )
-            (far if self._is_away(record) else near).append((-score, target_id))
-        near.sort()
-        far.sort()
-        return {
-            target_id: place
-            for group in (near, far)
-            for place, (_, target_id) in enumerate(group)
-        }
-
     def _get_scores(self, query):
         key = (query.route.name, query.object_key)
         scores = self._scores.get(key)
@@ -227,12 +239,12 @@
                 del self._scores[next(iter(self._scores))]
         return scores
 
-    def _goes_away(self, query, records, now):
+    def _goes_away(self, query, around, now):
         """Return whether the object's side is another region."""
         plan = self._plans.get(query.service)
         if plan is None:
             plan = self._plans[query.service] = RegionPlan()
-        share = plan.get_share(self._look_around(records), now)
+        share = plan.get_share(around, now)
         if share <= 0.0:
             return False
         if query.object_key is None:
@@ -242,24 +254,6 @@
             scores[SIDE] = get_uniform(f"{query.route.name}/{query.object_key}", SIDE)
         return scores[SIDE] < share
 
-    def _look_around(self, records):
-        here = everywhere = 0
-        for record in records:
-            everywhere += record.endpoint.slots
-            if not self._is_away(record):
-                here += record.endpoint.slots
-        return Surroundings(here, everywhere, *self._members.counts)
-
-    def _get_crowd(self, records, now):
-        """Return the requests for each slot of the region's targets."""
-        slots = occupied = 0.0
-        for record in records:
-            if not self._is_away(record):
-                slots += record.endpoint.slots
-                most = MAX_CROWD * record.endpoint.slots
-                occupied += min(record.get_occupancy(now), most)
-        return occupied / slots if slots else 1.0
-
     def _get_region(self, record):
         return self._settings.regions.get(record.endpoint.failure_domain)
 
