--- a/tests/test_upstream_link.py
+++ b/tests/test_upstream_link.py
@@ -7,7 +7,7 @@
 
 from turmericrudder.address import Address
 from turmericrudder.errors import LinkBroken, LinkRefused
-from turmericrudder.gateway.upstream_link import open_link
+from turmericrudder.gateway.upstream_link import HIGH_WATER, open_link
 from turmericrudder.interrupt import Interrupted
 
 HOST = "127.0.20.3"
@@ -15,9 +15,10 @@
 LIMIT = 1000
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
+@pytest.fixture(params=[False, True], ids=["asyncio", "uvloop"])
+def anyio_backend(request):
+    """The gateway runs on uvloop, whose transports differ in details."""
+    return "asyncio", {"use_uvloop": request.param}
 
 
 def make_answer(body=b"body", attempt_id=b"a", extra=b"", length=None):
@@ -204,3 +205,22 @@
         tasks.cancel_scope.cancel()
     await listener.aclose()
     assert ends == [anyio.BrokenResourceError]
+
+
+@pytest.mark.anyio
+async def test_connection_reads_on_after_an_answer_that_filled_its_buffer():
+    """Reading was paused when the last bytes came; the next answer needs it."""
+    body = b"z" * (HIGH_WATER + 1000)
+    async with serve(make_answer(body), make_answer(b"two", b"b")) as link:
+        await link.exchange(REQUEST, b"", b"a")
+        await anyio.sleep(0.3)
+        received = b"".join([chunk async for chunk in link.iter_chunks()])
+        assert received == body
+        assert await exchange(link, b"b") == b"two"
+    async with serve(b"", make_answer(b"two", b"b")) as link:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.exchange, REQUEST, b"", b"a")
+            await anyio.sleep(0.05)
+            link.data_received(make_answer(body))
+        assert await link.read_all(HIGH_WATER) == body
+        assert await exchange(link, b"b") == b"two"
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -11,11 +11,10 @@
 from ..units import MS_PER_SECOND
 from .course import Course
 from .outcome import Broken, Refused, Streaming, TurnedAway, Whole
+from .upstream_link import HIGH_WATER
 
 __all__ = ["Forwarder"]
 
-WHOLE_BYTES = 256 * 1024  # longest answer that is read before it is passed on
-
 
 class Forwarder:
     """Chooses targets, sends, repeats what may be repeated.
@@ -118,7 +117,7 @@
         self._note_load(record, headers)
         turned_away = _get_turned_away(link.status, headers)
         if turned_away:
-            await link.read_all(WHOLE_BYTES)
+            await link.read_all(HIGH_WATER)
             now = anyio.current_time()
             if link.status == 421:
                 record.is_gone = True
@@ -128,7 +127,7 @@
             raise LinkBroken("encoded answer")
         if 200 <= link.status < 300 and names.SIGNATURE not in headers:
             raise LinkBroken("unsigned answer")
-        body = await link.read_all(WHOLE_BYTES)
+        body = await link.read_all(HIGH_WATER)
         now = anyio.current_time()
         if body is None:
             return Streaming(link.status, link.headers, link)
