Give an instance's beliefs a class of their own

The registry brings news to Beliefs, which holds routes, targets, evacuations and members; the instance keeps the wiring, the stop and the settings. No behaviour changes.

--- /dev/null
+++ b/turmericrudder/gateway/beliefs.py
@@ -0,0 +1,137 @@
+"""What an instance believes by the store's word: one place that news go to."""
+
+import anyio
+
+from ..events import catalogue
+from ..steering import Catalog, RouteTable
+
+__all__ = ["Beliefs"]
+
+
+class Beliefs:
+    """Routes, targets, evacuations and members, with a log line for each change.
+
+    Each piece of news comes with the store's revision.
+
+    :ivar route_table: of the configuration in force, or ``None``.
+    """
+
+    __slots__ = (
+        "_configured",
+        "_log",
+        "_on_own_removed",
+        "_own_name",
+        "_pool",
+        "catalog",
+        "members",
+        "route_table",
+    )
+
+    def __init__(self, own_name, members, pool, log, on_own_removed):
+        """Start without any belief.
+
+        :param pool: connections to targets, some of which are of no more use.
+        :param on_own_removed: called when this instance's own entry is gone.
+        """
+        self._own_name = own_name
+        self._pool = pool
+        self._log = log
+        self._on_own_removed = on_own_removed
+        self._configured = anyio.Event()
+        self.members = members
+        self.catalog = Catalog()
+        self.route_table = None
+
+    @property
+    def limits(self):
+        """Bounds on clients, or ``None`` until a configuration is known."""
+        table = self.route_table
+        return table.configuration.limits if table is not None else None
+
+    @property
+    def version(self):
+        """Version of the configuration in force, or ``None``."""
+        table = self.route_table
+        return table.configuration.version if table is not None else None
+
+    async def wait_configured(self, limit=None):
+        """Wait until a configuration is known.
+
+        :param limit: seconds to wait at most, or ``None``.
+        """
+        with anyio.move_on_after(limit):
+            await self._configured.wait()
+
+    def set_configuration(self, configuration, revision):
+        """Bring a version of the configuration into force, upwards only."""
+        if self.version is not None and configuration.version <= self.version:
+            return
+        self.route_table = RouteTable(configuration)
+        self.catalog.set_profiles(configuration.services)
+        self._configured.set()
+        self._log.write(
+            catalogue.REVISION_IN_FORCE,
+            version=configuration.version,
+            revision=revision,
+            routes=len(configuration.routes),
+        )
+
+    def put_target(self, endpoint, revision):
+        """Take a target's registration."""
+        if not self.catalog.put(endpoint, revision, anyio.current_time()):
+            return
+        if endpoint.is_draining:
+            self._pool.forget(endpoint.id)
+        self._log.write(
+            catalogue.TARGET_REGISTERED,
+            target=endpoint.id,
+            service=endpoint.service,
+            failure_domain=endpoint.failure_domain,
+            draining=endpoint.is_draining,
+            cold_s=endpoint.cold_left,
+            revision=revision,
+        )
+
+    def remove_target(self, target_id, revision):
+        """Take the end of a target's registration."""
+        if self.catalog.remove(target_id, revision, anyio.current_time()):
+            self._pool.forget(target_id)
+            self._log.write(
+                catalogue.TARGET_WITHDRAWN, target=target_id, revision=revision
+            )
+
+    def evacuate(self, failure_domain, revision):
+        """Send nothing more to the targets of a failure domain."""
+        if self.catalog.evacuate(failure_domain):
+            self._log.write(
+                catalogue.DOMAIN_EVACUATED,
+                failure_domain=failure_domain,
+                revision=revision,
+            )
+
+    def restore(self, failure_domain, revision):
+        """Use the targets of a failure domain again."""
+        if self.catalog.restore(failure_domain, anyio.current_time()):
+            self._log.write(
+                catalogue.DOMAIN_RESTORED,
+                failure_domain=failure_domain,
+                revision=revision,
+            )
+
+    def put_member(self, member, revision):
+        """Take another instance's registration."""
+        if self.members.put(member):
+            self._log.write(
+                catalogue.MEMBER_JOINED, member=member.name, revision=revision
+            )
+
+    def remove_member(self, name, revision):
+        """Take the end of another instance's registration."""
+        if name == self._own_name:
+            self._on_own_removed()
+        if self.members.remove(name):
+            self._log.write(catalogue.MEMBER_FAILED, member=name, revision=revision)
+
+    def note_synced(self):
+        """Note that the store was read whole: what comes now is new."""
+        self.catalog.has_settled = True
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -29,7 +29,7 @@
     @property
     def limits(self):
         """Bounds on clients, or ``None`` until a configuration is known."""
-        return self._instance.limits
+        return self._instance.beliefs.limits
 
     async def __call__(self, scope, receive, send):
         """Handle one HTTP request."""
@@ -49,15 +49,15 @@
 
     async def _take(self, scope, receive, reply):
         instance = self._instance
-        if instance.route_table is None:
+        if instance.beliefs.route_table is None:
             # An instance that has just started knows it within a few round trips.
-            await instance.wait_configured(CONFIGURATION_WAIT)
+            await instance.beliefs.wait_configured(CONFIGURATION_WAIT)
         now = anyio.current_time()
         request = self._parse(scope, now, reply.trail)
         reply.request = request
         if instance.refuses_new():
             raise RequestRefused(503, "stopping", retry_after=0.05)
-        reader = BodyReader(scope, receive, instance.limits)
+        reader = BodyReader(scope, receive, instance.beliefs.limits)
         await reader.read(request)
         forward = instance.forwarder.forward(request)
         if request.route.is_idempotent and request.body is not None:
@@ -74,7 +74,7 @@
 
     def _parse(self, scope, now, trail):
         instance = self._instance
-        table = instance.route_table
+        table = instance.beliefs.route_table
         if table is None:
             raise RequestRefused(503, "no configuration", retry_after=0.2)
         headers = scope["headers"]
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -11,7 +11,8 @@
 from ..metrics import Metrics
 from ..platform import MetadataStore
 from ..settings import read_gateway_settings
-from ..steering import BackendSplit, Balancer, Catalog, Member, RouteTable
+from ..steering import BackendSplit, Balancer, Member
+from .beliefs import Beliefs
 from .client_application import ClientApplication
 from .forwarder import Forwarder
 from .link_pool import LinkPool
@@ -53,10 +54,7 @@
         self.log = EventLog(instance=settings.name)
         self.metrics = Metrics()
         self.request_log = RequestLog(self.log)
-        self.route_table = None
-        self._configured = anyio.Event()
         self.is_stopping = False
-        self.catalog = Catalog()
         self._stop_began = None
         self._last_request = 0.0
         self._splits = {}
@@ -71,13 +69,15 @@
             settings.machine.capacity,
         )
         self.members = Members(settings, self.member)
-        self.balancer = Balancer(settings, self.catalog, self.members, self._random)
         self.pool = LinkPool()
-        self.forwarder = Forwarder(
-            settings, self.catalog, self.balancer, self.pool, self.members
+        self.beliefs = Beliefs(
+            settings.name, self.members, self.pool, self.log, self._rewrite_entry
         )
+        known = self.beliefs.catalog
+        balancer = Balancer(settings, known, self.members, self._random)
+        self.forwarder = Forwarder(settings, known, balancer, self.pool, self.members)
         self.store = MetadataStore(settings.store)
-        self.registry = Registry(self, self.store, PeerClient())
+        self.registry = Registry(self.beliefs, self.store, PeerClient(), self.log)
         self.registration = Registration(self, self.member, self.store)
         self.clients = Listener(ClientApplication(self), settings.listen_clients)
         self._listeners = [
@@ -88,23 +88,9 @@
             Listener(MetricsApplication(self), settings.listen_metrics),
         ]
 
-    # Questions
-
-    @property
-    def limits(self):
-        """Bounds on clients, or ``None`` until a configuration is known."""
-        table = self.route_table
-        return table.configuration.limits if table is not None else None
-
-    @property
-    def version(self):
-        """Version of the configuration in force, or ``None``."""
-        table = self.route_table
-        return table.configuration.version if table is not None else None
-
     def is_ready(self):
         """Return whether clients should come here."""
-        return not self.is_stopping and self.route_table is not None
+        return not self.is_stopping and self.beliefs.route_table is not None
 
     def refuses_new(self):
         """Return whether a stopping instance takes no more requests."""
@@ -129,93 +115,13 @@
     def format_metrics(self):
         """Return all series as text."""
         gauges = {
-            "targets": len(self.catalog),
+            "targets": len(self.beliefs.catalog),
             "members": len(self.members),
             "store_calls": self.store.call_count,
             "connections_opened": self.pool.opened,
         }
         return self.metrics.format(gauges)
 
-    # News, each with the store's revision
-
-    def set_configuration(self, configuration, revision):
-        """Bring a version of the configuration into force."""
-        current = self.route_table
-        if current is not None:
-            known = current.configuration.version
-            if configuration.version <= known:
-                return
-        self.route_table = RouteTable(configuration)
-        self.catalog.set_profiles(configuration.services)
-        self._configured.set()
-        self.log.write(
-            catalogue.REVISION_IN_FORCE,
-            version=configuration.version,
-            revision=revision,
-            routes=len(configuration.routes),
-        )
-
-    def put_target(self, endpoint, revision):
-        """Take a target's registration."""
-        if self.catalog.put(endpoint, revision, anyio.current_time()):
-            if endpoint.is_draining:
-                self.pool.forget(endpoint.id)
-            self.log.write(
-                catalogue.TARGET_REGISTERED,
-                target=endpoint.id,
-                service=endpoint.service,
-                failure_domain=endpoint.failure_domain,
-                draining=endpoint.is_draining,
-                cold_s=endpoint.cold_left,
-                revision=revision,
-            )
-
-    def remove_target(self, target_id, revision):
-        """Take the end of a target's registration."""
-        if self.catalog.remove(target_id, revision, anyio.current_time()):
-            self.pool.forget(target_id)
-            self.log.write(
-                catalogue.TARGET_WITHDRAWN, target=target_id, revision=revision
-            )
-
-    def evacuate(self, failure_domain, revision):
-        """Send nothing more to the targets of a failure domain."""
-        if self.catalog.evacuate(failure_domain):
-            self.log.write(
-                catalogue.DOMAIN_EVACUATED,
-                failure_domain=failure_domain,
-                revision=revision,
-            )
-
-    def restore(self, failure_domain, revision):
-        """Use the targets of a failure domain again."""
-        if self.catalog.restore(failure_domain, anyio.current_time()):
-            self.log.write(
-                catalogue.DOMAIN_RESTORED,
-                failure_domain=failure_domain,
-                revision=revision,
-            )
-
-    def put_member(self, member, revision):
-        """Take another instance's registration."""
-        if self.members.put(member):
-            self.log.write(
-                catalogue.MEMBER_JOINED, member=member.name, revision=revision
-            )
-
-    def remove_member(self, name, revision):
-        """Take the end of another instance's registration."""
-        if name == self.settings.name and not self.is_stopping:
-            self.registration.renew_entry()
-        if self.members.remove(name):
-            self.log.write(catalogue.MEMBER_FAILED, member=name, revision=revision)
-
-    def note_synced(self):
-        """Note that the store was read whole: what comes now is new."""
-        self.catalog.has_settled = True
-
-    # Life
-
     async def run(self):
         """Serve until a stop signal has been carried out."""
         async with anyio.create_task_group() as tasks:
@@ -237,13 +143,12 @@
                 await self._stop()
             tasks.cancel_scope.cancel()
 
-    async def wait_configured(self, limit):
-        """Wait until a configuration is known, ``limit`` seconds at most."""
-        with anyio.move_on_after(limit):
-            await self._configured.wait()
+    def _rewrite_entry(self):
+        if not self.is_stopping:
+            self.registration.renew_entry()
 
     async def _register(self):
-        await self._configured.wait()
+        await self.beliefs.wait_configured()
         await self.registration.run()
 
     async def _keep_house(self):
--- a/turmericrudder/gateway/peer_link.py
+++ b/turmericrudder/gateway/peer_link.py
@@ -66,8 +66,8 @@
             return 404, b"text/plain", b""
         registry = self._instance.registry
         seconds = min(int(wait), MAX_WAIT_MS) / MS_PER_SECOND
-        await registry.log.wait_beyond(int(after), seconds)
-        news = _make_news(registry.log, int(after))
+        await registry.change_log.wait_beyond(int(after), seconds)
+        news = _make_news(registry.change_log, int(after))
         if news is None:
             return 503, b"text/plain", b""
         news.contact_age = registry.get_contact_age()
--- a/turmericrudder/gateway/registry.py
+++ b/turmericrudder/gateway/registry.py
@@ -48,25 +48,27 @@
     """
 
     __slots__ = (
+        "_beliefs",
         "_contact_at",
         "_held_back",
-        "_instance",
         "_is_current",
+        "_log",
         "_lost_at",
         "_peer_good_until",
         "_peers",
         "_returned_at",
         "_revisions",
         "_store",
-        "log",
+        "change_log",
     )
 
-    def __init__(self, instance, store, peers):
+    def __init__(self, beliefs, store, peers, log):
         """Prepare without any belief.
 
         :param peers: a :class:`~turmericrudder.gateway.peer_link.PeerClient`.
         """
-        self._instance = instance
+        self._beliefs = beliefs
+        self._log = log
         self._store = store
         self._peers = peers
         self._revisions = {}
@@ -76,7 +78,7 @@
         self._returned_at = None
         self._contact_at = None
         self._peer_good_until = 0.0
-        self.log = ChangeLog()
+        self.change_log = ChangeLog()
 
     async def run(self):
         """Follow the store, and others while it is away, until cancelled."""
@@ -121,7 +123,7 @@
                 await anyio.sleep(RETRY_PAUSE)
 
     def _needs_store(self):
-        if not self._is_current or self._instance.members.is_reader():
+        if not self._is_current or self._beliefs.members.is_reader():
             return True
         return anyio.current_time() >= self._peer_good_until
 
@@ -131,12 +133,12 @@
         self._take_all({item.key: item for item in found.items}, found.revision)
 
     async def _read_changes(self):
-        after = self.log.revision
+        after = self.change_log.revision
         changes = await self._store.watch(ALL_KEYS, after, WATCH_WAIT)
         self._note_reached()
         for event in changes.events:
             self._apply(event)
-        self.log.revision = max(self.log.revision, changes.revision)
+        self.change_log.revision = max(self.change_log.revision, changes.revision)
         if changes.events:
             await anyio.sleep(GROUP_PAUSE)
 
@@ -147,7 +149,7 @@
             if address is None:
                 await anyio.sleep(PEER_PAUSE)
                 continue
-            after = self.log.revision
+            after = self.change_log.revision
             try:
                 news = await self._peers.get_news(address, after, PEER_WAIT)
             except PeerUnreachable:
@@ -163,19 +165,19 @@
 
     def _choose_peer(self):
         if self._lost_at is None and self._is_current:
-            return self._instance.members.get_reader_address()
-        addresses = self._instance.members.get_peer_addresses()
+            return self._beliefs.members.get_reader_address()
+        addresses = self._beliefs.members.get_peer_addresses()
         return random.choice(addresses) if addresses else None
 
     def _take_news(self, news):
         if news.is_whole:
-            if news.revision > self.log.revision:
+            if news.revision > self.change_log.revision:
                 items = {item.key: item for item in news.get_events()}
                 self._take_all(items, news.revision)
         elif self._is_current:
             for event in news.get_events():
                 self._apply(event)
-            self.log.revision = max(self.log.revision, news.revision)
+            self.change_log.revision = max(self.change_log.revision, news.revision)
 
     def _take_all(self, items, revision):
         """Take the store's whole content as of a revision."""
@@ -185,64 +187,64 @@
         for key in [key for key in self._revisions if key not in items]:
             if self._revisions[key] <= revision:
                 self._apply(Deletion(key, revision))
-        self.log.restart(items, revision)
+        self.change_log.restart(items, revision)
         for deletion in self._held_back.values():
-            self.log.hold(deletion)
+            self.change_log.hold(deletion)
         self._is_current = True
-        self._instance.note_synced()
+        self._beliefs.note_synced()
 
     def _apply(self, event):
         known = self._revisions.get(event.key, 0)
         if event.revision < known:
             return
         if isinstance(event, Deletion):
-            self.log.note(event)
+            self.change_log.note(event)
             if self._is_grace() and self._may_return(event.key):
                 self._held_back[event.key] = event
-                self.log.hold(event)
+                self.change_log.hold(event)
             else:
                 self._forget(event)
             return
         held = self._held_back.pop(event.key, None)
         if held is not None:
-            self.log.release(held)
+            self.change_log.release(held)
         if event.revision == known:
             return
         self._revisions[event.key] = event.revision
-        self.log.note(event)
+        self.change_log.note(event)
         try:
             self._take(event)
         except EntryInvalid as exc:
-            self._instance.log.write(catalogue.ENTRY_REFUSED, reason=str(exc))
+            self._log.write(catalogue.ENTRY_REFUSED, reason=str(exc))
 
     def _take(self, item):
-        instance = self._instance
+        beliefs = self._beliefs
         if item.key == names.CONFIGURATION_KEY:
-            instance.set_configuration(decode_configuration(item.value), item.revision)
+            beliefs.set_configuration(decode_configuration(item.value), item.revision)
         elif item.key.startswith(names.EVACUATION_PREFIX):
-            instance.evacuate(item.key[len(names.EVACUATION_PREFIX) :], item.revision)
+            beliefs.evacuate(item.key[len(names.EVACUATION_PREFIX) :], item.revision)
         elif item.key.startswith(names.TARGET_PREFIX):
             try:
                 endpoint = decode_endpoint(item.key, item.value)
             except EntryInvalid:
-                instance.remove_target(get_target_id(item.key), item.revision)
+                beliefs.remove_target(get_target_id(item.key), item.revision)
                 raise
-            instance.put_target(endpoint, item.revision)
+            beliefs.put_target(endpoint, item.revision)
         elif item.key.startswith(names.MEMBER_PREFIX):
-            instance.put_member(decode_member(item.key, item.value), item.revision)
+            beliefs.put_member(decode_member(item.key, item.value), item.revision)
 
     def _forget(self, deletion):
         if self._held_back.pop(deletion.key, None) is not None:
-            self.log.release(deletion)
+            self.change_log.release(deletion)
         self._revisions.pop(deletion.key, None)
-        instance = self._instance
+        beliefs = self._beliefs
         key = deletion.key
         if key.startswith(names.EVACUATION_PREFIX):
-            instance.restore(key[len(names.EVACUATION_PREFIX) :], deletion.revision)
+            beliefs.restore(key[len(names.EVACUATION_PREFIX) :], deletion.revision)
         elif key.startswith(names.TARGET_PREFIX):
-            instance.remove_target(get_target_id(key), deletion.revision)
+            beliefs.remove_target(get_target_id(key), deletion.revision)
         elif key.startswith(names.MEMBER_PREFIX):
-            instance.remove_member(get_member_name(key), deletion.revision)
+            beliefs.remove_member(get_member_name(key), deletion.revision)
 
     def _may_return(self, key):
         return key.startswith((names.TARGET_PREFIX, names.MEMBER_PREFIX))
@@ -254,7 +256,7 @@
     def _note_lost(self, exc):
         if self._lost_at is None:
             self._lost_at = anyio.current_time()
-            self._instance.log.write(catalogue.STORE_UNREACHABLE, error=str(exc))
+            self._log.write(catalogue.STORE_UNREACHABLE, error=str(exc))
 
     def _note_reached(self):
         self.note_contact()
@@ -263,7 +265,5 @@
         now = anyio.current_time()
         if now - self._lost_at >= OUTAGE_MIN:
             self._returned_at = now
-        self._instance.log.write(
-            catalogue.STORE_REACHABLE, away_s=round(now - self._lost_at, 3)
-        )
+        self._log.write(catalogue.STORE_REACHABLE, away_s=round(now - self._lost_at, 3))
         self._lost_at = None
--- a/turmericrudder/gateway/reply.py
+++ b/turmericrudder/gateway/reply.py
@@ -92,7 +92,7 @@
             route=request.route.name if request else None,
             service=request.service if request else None,
             object_key=request.object_key if request else None,
-            version=instance.version,
+            version=instance.beliefs.version,
             ms=round(seconds * MS_PER_SECOND, 1),
             **fields,
         )
