--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -1,10 +1,6 @@
 """The entry instance: builds the parts, wires them, runs and stops them."""
 
-import contextlib
 import random
-import secrets
-import signal
-import time
 
 import anyio
 
@@ -26,34 +22,32 @@
 from ..forwarding.dispatcher import SetOwned
 from ..interrupt import Interrupted, run_until
 from ..lookup import LookupPlanner, get_issued_prefixes
-from ..membership import Member, Status
+from ..membership import Status
 from ..metrics import Metrics
 from ..platform import MetadataStore
 from ..routing import Budget, TargetPool
 from .application import CallerApplication
 from .configurator import Configurator
 from .handover import HandoverSender
+from .here import make_here
 from .membership import Membership
 from .monitor import Monitor
 from .ownership import OwnershipKeeper
 from .parts import PartFetcher
 from .peer_application import PeerApplication
+from .planned_stop import PlannedStop
 from .server import Server
 from .status import build_status
 from .store_reader import StoreReader
 
 __all__ = ["EntryInstance", "run_entry"]
 
-NONCE_BYTES = 4
-NS_PER_MS = 1_000_000
 GATHER = 0.05  # seconds in which changes are gathered
 RESTART_PAUSE = 1.0  # seconds
 EXTRA_SHARE = 0.05  # retries and hedges for each request
 EXTRA_BURST = 10
 EXTRA_RESERVE = 4
 PART_TIMEOUT = 3.0  # seconds
-STOP_STEP = 0.05  # seconds
-LEFT_PAUSE = 0.2  # seconds for the last messages to leave
 
 
 class EntryInstance:
@@ -64,7 +58,7 @@
         self.log = EventLog(instance=settings.name)
         self.metrics = Metrics()
         self.pacer = LinkPacer(settings.region)
-        here = _make_member(settings)
+        here = make_here(settings)
         self._channel = Channel(
             settings.listen_control, settings.peer_key, self._handle, self.log
         )
@@ -96,11 +90,15 @@
         self._handover = HandoverSender(
             settings, self.dispatcher, self._ownership, self.membership, self._channel
         )
-        self._open = 0
-        self._closed = False
-        self._aborted = False
         self._callers = Server(CallerApplication(self), settings.listen_callers)
         self._peers = Server(PeerApplication(self), settings.listen_peers)
+        self._stop = PlannedStop(
+            settings,
+            self.membership,
+            lambda: self.operations.is_telling(),
+            (self._callers, self._peers),
+            self.log,
+        )
         self._changed = anyio.Event()
         self.membership.on_change = self._note_change
         self.membership.on_revision = self._offer_revision
@@ -118,16 +116,11 @@
 
     def is_closed(self):
         """Return whether new requests are refused."""
-        return self._closed
+        return self._stop.is_closed
 
-    @contextlib.contextmanager
     def count_open(self):
         """Count a request that a planned stop has to wait for."""
-        self._open += 1
-        try:
-            yield
-        finally:
-            self._open -= 1
+        return self._stop.count_open()
 
     async def run_watched(self, request, work):
         """Run an awaitable, cancelled if the caller goes away.
@@ -193,9 +186,9 @@
                 peers=self.settings.listen_peers,
                 control=self.settings.listen_control,
             )
-            await self._wait_stop(tasks)
+            await self._stop.wait(tasks)
             tasks.cancel_scope.cancel()
-        if self._aborted:
+        if self._stop.is_aborted:
             return 1
         await self._upstreams.aclose()
         await self._peer_links.aclose()
@@ -228,33 +221,6 @@
                 )
                 await anyio.sleep(RESTART_PAUSE)
 
-    async def _wait_stop(self, tasks):
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            stopping = False
-            async for _ in signals:
-                if stopping:
-                    self.log.write(catalogue.INSTANCE_ABORTED)
-                    self._aborted = True
-                    tasks.cancel_scope.cancel()
-                stopping = True
-                tasks.start_soon(self._leave, tasks.cancel_scope)
-
-    async def _leave(self, scope):
-        self.log.write(catalogue.INSTANCE_LEAVING, in_flight=self._open)
-        self.membership.set_status(Status.LEAVING)
-        timing = self.settings.timing
-        # Callers may come by a cached answer for this long.
-        await anyio.sleep(timing.lookup_ttl + timing.heartbeat)
-        self._closed = True
-        with anyio.move_on_after(timing.drain_limit):
-            while self._open or self.operations.is_telling():
-                await anyio.sleep(STOP_STEP)
-        self._callers.stop()
-        self._peers.stop()
-        self.membership.set_status(Status.LEFT)
-        await anyio.sleep(LEFT_PAUSE)
-        scope.cancel()
-
     def _handle(self, envelope):
         match envelope.message:
             case Handover(in_flight):
@@ -325,18 +291,3 @@
     """Run an entry instance until it is told to stop; return the exit code."""
     set_up_logging(settings)
     return await EntryInstance(settings).run()
-
-
-def _make_member(settings):
-    return Member(
-        name=settings.name,
-        incarnation=time.time_ns() // NS_PER_MS,
-        nonce=secrets.token_hex(NONCE_BYTES),
-        sequence=0,
-        status=Status.STARTING,
-        region=settings.region,
-        failure_domain=settings.failure_domain,
-        callers=str(settings.listen_callers),
-        peers=str(settings.listen_peers),
-        control=str(settings.listen_control),
-    )
--- /dev/null
+++ b/turmericrudder/daemon/here.py
@@ -0,0 +1,27 @@
+"""The record of this instance at its start."""
+
+import secrets
+import time
+
+from ..membership import Member, Status
+
+__all__ = ["make_here"]
+
+NONCE_BYTES = 4
+NS_PER_MS = 1_000_000
+
+
+def make_here(settings):
+    """Return the :class:`Member` that says where and since when it runs."""
+    return Member(
+        name=settings.name,
+        incarnation=time.time_ns() // NS_PER_MS,
+        nonce=secrets.token_hex(NONCE_BYTES),
+        sequence=0,
+        status=Status.STARTING,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        callers=str(settings.listen_callers),
+        peers=str(settings.listen_peers),
+        control=str(settings.listen_control),
+    )
--- a/turmericrudder/daemon/membership.py
+++ b/turmericrudder/daemon/membership.py
@@ -17,7 +17,7 @@
     get_watched,
     get_watchers,
 )
-from ..rendezvous import rank_names
+from .duties import Duties
 
 __all__ = ["Membership"]
 
@@ -75,7 +75,7 @@
         self._seeds = {str(seed) for seed in settings.seeds}
         self._watch = Watch(settings.timing)
         self._watchers = []
-        self._duties = (-1, {})
+        self._duties = Duties()
         self._heard = {}
         self._gone_since = {}
         self._next_reconcile = 0.0
@@ -91,18 +91,7 @@
 
         :param count: how many instances do it; one more does no harm.
         """
-        version, duties = self._duties
-        if version != self.view.version:
-            duties = {}
-            self._duties = (self.view.version, duties)
-        if duty not in duties:
-            names = [
-                member.name
-                for member in self.view.get_reachable()
-                if member.failure_domain == self.here.failure_domain
-            ]
-            duties[duty] = self.here.name in rank_names(duty, names)[:count]
-        return duties[duty]
+        return self._duties.has_duty(duty, count, self.here, self.view)
 
     def add_seed(self, address):
         """Remember a control address at which an instance may listen."""
--- a/turmericrudder/daemon/server.py
+++ b/turmericrudder/daemon/server.py
@@ -5,6 +5,8 @@
 import anyio
 import uvicorn
 
+from ..serving import make_server_config
+
 __all__ = ["Server"]
 
 KEEPALIVE_SECONDS = 60
@@ -25,19 +27,11 @@
     __slots__ = ("_server",)
 
     def __init__(self, application, address):
-        config = uvicorn.Config(
+        config = make_server_config(
             application,
             host=address.host,
             port=address.port,
             http="httptools",
-            ws="none",
-            lifespan="off",
-            interface="asgi3",
-            access_log=False,
-            log_config=None,
-            proxy_headers=False,
-            server_header=False,
-            date_header=False,
             timeout_keep_alive=KEEPALIVE_SECONDS,
             backlog=BACKLOG,
         )
--- a/turmericrudder/gateway/listener.py
+++ b/turmericrudder/gateway/listener.py
@@ -6,9 +6,9 @@
 
 import asyncio
 
-from uvicorn import Config
 from uvicorn.server import ServerState
 
+from ..serving import make_server_config
 from .client_protocol import ClientProtocol
 
 __all__ = ["Listener"]
@@ -26,16 +26,8 @@
         self._address = address
         self._state = ServerState()
         self._server = None
-        self._config = Config(
-            application,
-            http=ClientProtocol,
-            ws="none",
-            lifespan="off",
-            interface="asgi3",
-            access_log=False,
-            log_config=None,
-            proxy_headers=False,
-            timeout_keep_alive=KEEPALIVE_SECONDS,
+        self._config = make_server_config(
+            application, http=ClientProtocol, timeout_keep_alive=KEEPALIVE_SECONDS
         )
         self._config.load()
 
