Split the long test files; one place for gateways' settings in tests and soak

Cause: test_gateway.py and test_steering.py had grown to 478 and 450 lines, and the soak kept its own copy of the settings file and of starting a process.

Ruled out: a changed check: the names of the tests and the lines with assert or raises are the same set before and after.

One file for each matter, standins/gateway.py for both users.

--- a/soak/world.py
+++ b/soak/world.py
@@ -1,14 +1,12 @@
 """Store, targets and proxies in this process; gateways in their own."""
 
-import os
 import signal
-import subprocess
-import sys
 from pathlib import Path
 
 import anyio
 import msgspec
 
+from standins.gateway import GRACE, REGIONS, start_gateway, write_settings
 from standins.serving import serve
 from standins.store import StoreApplication, StoreFault
 from standins.target import TargetApplication, TargetFault
@@ -23,38 +21,7 @@
 GATEWAY_PORT = 100  # offset of the first gateway's ports
 TARGET_PORT = 20  # offset of the targets' own ports
 PROXY_PORT = 60  # offset of the targets' proxies
-GRACE = 4.0  # seconds
-DOMAINS = ("a1", "a2", "b1")
-REGIONS = "a1 = a\na2 = a\nb1 = b\n"
-SETTINGS = """[instance]
-name = g{number}
-failure_domain = {domain}
-region = {region}
-
-[listen]
-clients = {host}:{first}
-readiness = {host}:{readiness}
-directory = {host}:{directory}
-peers = {host}:{peers}
-metrics = {host}:{metrics}
-seeds = {seeds}
-
-[store]
-address = {host}:{store}
-lease_min = 1000ms
-
-[regions]
-{regions}
-[bounds]
-grace = {grace}s
-lookup_ttl = 2s
-retry_ratio = 0.2
-retry_extra = 64
-retry_window = 10s
-cold_overage = 1.5
-cold_slack = 5
-max_shift = 0.15
-"""
+DOMAINS = tuple(REGIONS)
 
 
 class Gateway:
@@ -75,13 +42,7 @@
         """Start the process, unless it runs."""
         if self.process is not None and self.process.poll() is None:
             return
-        with self._log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "turmericrudder.gateway"],
-                env={**os.environ, "TURMERICRUDDER_CONFIG": str(self._path)},
-                stdout=log,
-                stderr=log,
-            )
+        self.process = start_gateway(self._path, self._log)
 
     def send_signal(self, number):
         """Send a signal to the process, unless it has ended."""
@@ -198,23 +159,8 @@
         domain = DOMAINS[number % len(DOMAINS)]
         peers = [self.get_client_port(n) + 3 for n in range(count)]
         path = self._directory / f"g{number}.ini"
-        path.write_text(
-            SETTINGS.format(
-                number=number,
-                host=HOST,
-                domain=domain,
-                region=domain[0],
-                first=first,
-                readiness=first + 1,
-                directory=first + 2,
-                peers=first + 3,
-                metrics=first + 4,
-                store=self.store_proxies[number].port,
-                seeds=",".join(f"{HOST}:{port}" for port in peers),
-                regions=REGIONS,
-                grace=GRACE,
-            )
-        )
+        store = self.store_proxies[number].port
+        write_settings(path, f"g{number}", HOST, first, store, domain, peers)
         return Gateway(path, self._directory / f"g{number}.log")
 
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,29 @@
+"""Fixtures that several files use."""
+
+import pytest
+
+from .platform_rig import Rig
+
+
+@pytest.fixture(scope="module")
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture(scope="module")
+async def module_rig(request, anyio_backend, tmp_path_factory):
+    """One gateway for all tests of a file, on the ports from its ``BASE``."""
+    directory = tmp_path_factory.mktemp("gateway")
+    async with Rig(request.module.BASE, directory) as rig:
+        yield rig
+
+
+@pytest.fixture
+def rig(module_rig):
+    """The file's gateway, its targets without faults and without runs."""
+    for target in module_rig.targets:
+        target.runs.clear()
+        target.deadlines.clear()
+        target.fault = type(target.fault)()
+        target.work = 0.01
+    return module_rig
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -2,112 +2,21 @@
 
 import contextlib
 import itertools
-import os
 import signal
-import subprocess
-import sys
 
 import anyio
 import httpcore
 import msgspec
 
+from standins.gateway import start_gateway, write_settings
 from standins.serving import serve
 from standins.store import StoreApplication
 from standins.target import TargetApplication
 from turmericrudder.platform import names
 
-HOST = "127.0.20.1"
-LIMITS = {
-    "max_header_bytes": 2048,
-    "max_body_bytes": 1_000_000,
-    "header_timeout_ms": 500,
-    "idle_timeout_ms": 5000,
-}
-_ids = itertools.count(1)
-
-SETTINGS = """[instance]
-name = {name}
-failure_domain = a1
-region = a
-
-[listen]
-clients = {host}:{port}
-readiness = {host}:{readiness}
-directory = {host}:{directory}
-peers = {host}:{peers}
-metrics = {host}:{metrics}
-{seeds}
-
-[store]
-address = {host}:{store}
-lease_min = 1000ms
-
-[regions]
-a1 = a
-b1 = b
-
-[bounds]
-grace = 4s
-lookup_ttl = 2s
-retry_ratio = 0.2
-retry_extra = 64
-retry_window = 10s
-cold_overage = 1.5
-cold_slack = 5
-max_shift = 0.15
-"""
-
-
-def make_route(name="r1", prefix="/read/", kind="idempotent", **more):
-    return {
-        "name": name,
-        "host": "h.example",
-        "prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 2000,
-        "slo_ms": 500,
-        "priority": 1,
-        "service": "s1",
-        "max_attempts": 2,
-        "affinity": False,
-        "home_regions": [],
-        "backends": None,
-        **more,
-    }
+from .platform_documents import HOST, make_configuration, make_registration, make_route
 
-
-def make_configuration(version, routes, limits=None):
-    columns = list(make_route())
-    service_columns = ["name", "health_path", "max_conns", "cold_start_s", "cold_per_s"]
-    return {
-        "version": f"r{version}",
-        "routes": {
-            "columns": columns,
-            "rows": [[route[column] for column in columns] for route in routes],
-        },
-        "services": {
-            "columns": service_columns,
-            "rows": [
-                ["s1", "/health", 50, 1.0, 5.0],
-                ["s2", "/health", 50, 1.0, 5.0],
-            ],
-        },
-        "limits": {**LIMITS, **(limits or {})},
-    }
-
-
-def make_registration(port, zone="a1", state="ready", seq=1, **more):
-    return {
-        "service": "s1",
-        "address": f"{HOST}:{port}",
-        "zone": zone,
-        "version": "v1",
-        "slots": 4,
-        "state": state,
-        "cold_left_ms": 0,
-        "seq": seq,
-        **more,
-    }
+_ids = itertools.count(1)
 
 
 class Rig:
@@ -170,33 +79,18 @@
     def start(self):
         self.process = self.start_instance()
 
-    def start_instance(self, first=0, store=0, seeds=""):
+    def start_instance(self, first=0, store=0, seeds=()):
         """Start a gateway and return its process.
 
         :param first: offset of its ports.
         :param store: offset of the store's port.
+        :param seeds: ports of other gateways' peers.
         """
         path = self.directory / f"gateway{first}.ini"
-        path.write_text(
-            SETTINGS.format(
-                name=f"g{self.base + first}",
-                host=HOST,
-                port=self.get_port(first + 1),
-                readiness=self.get_port(first + 2),
-                directory=self.get_port(first + 3),
-                peers=self.get_port(first + 4),
-                metrics=self.get_port(first + 5),
-                store=self.get_port(store),
-                seeds=seeds,
-            )
-        )
-        with self.log.open("ab") as log:
-            return subprocess.Popen(
-                [sys.executable, "-m", "turmericrudder.gateway"],
-                env={**os.environ, "TURMERICRUDDER_CONFIG": str(path)},
-                stdout=log,
-                stderr=log,
-            )
+        name = f"g{self.base + first}"
+        first_port, store_port = self.get_port(first + 1), self.get_port(store)
+        write_settings(path, name, HOST, first_port, store_port, seeds=seeds)
+        return start_gateway(path, self.log)
 
     def stop(self):
         self.process.send_signal(signal.SIGTERM)
@@ -299,8 +193,8 @@
         return [run for target in self.targets for run in target.runs]
 
 
-def get_header(answer, name):
-    for key, value in answer.headers:
-        if key.lower() == name:
-            return value
-    return None
+async def wait_for(condition, limit):
+    """Wait until an async condition holds, ``limit`` seconds at most."""
+    with anyio.fail_after(limit):
+        while not await condition():
+            await anyio.sleep(0.05)
--- /dev/null
+++ b/tests/steering_makers.py
@@ -0,0 +1,80 @@
+"""Routes, targets and balancers for tests of the decisions."""
+
+import random
+from types import SimpleNamespace
+
+from turmericrudder.address import Address
+from turmericrudder.settings import BoundSettings
+from turmericrudder.steering import (
+    Backend,
+    Balancer,
+    Catalog,
+    Endpoint,
+    Query,
+    RequestKind,
+    Route,
+    ServiceProfile,
+)
+
+BOUNDS = BoundSettings(
+    grace=6.0,
+    lookup_ttl=5.0,
+    retry_ratio=0.2,
+    retry_extra=64,
+    retry_window=10.0,
+    cold_overage=1.5,
+    cold_slack=5,
+    max_shift=0.15,
+)
+
+
+SETTINGS = SimpleNamespace(
+    bounds=BOUNDS, region="a", regions={"a1": "a", "a2": "a", "b1": "b"}
+)
+
+
+PROFILE = ServiceProfile("s", "/health", 50, 3.0, 7.3)
+
+
+def make_route(name="r", host="h", prefix="/", **more):
+    values = {
+        "kind": RequestKind.IDEMPOTENT,
+        "timeout": 2.0,
+        "objective": 0.5,
+        "priority": 1,
+        "max_attempts": 2,
+        "backends": (Backend("s", 1.0),),
+        **more,
+    }
+    return Route(name, host, prefix, **values)
+
+
+def make_endpoint(target_id="t", domain="a1", **more):
+    values = {
+        "service": "s",
+        "address": Address("10.0.0.1", 80),
+        "failure_domain": domain,
+        "slots": 4,
+        "is_draining": False,
+        "cold_left": 0.0,
+        "born": 1,
+        "sequence": 1,
+        **more,
+    }
+    return Endpoint(id=target_id, **values)
+
+
+def make_balancer(*endpoints, feeds_cold=True, has_settled=False, counts=(1, 1, 1)):
+    catalog = Catalog()
+    catalog.set_profiles({"s": PROFILE})
+    catalog.has_settled = has_settled
+    for number, endpoint in enumerate(endpoints):
+        catalog.put(endpoint, number + 1, 0.0)
+    members = SimpleNamespace(counts=counts, feeds_cold=lambda _: feeds_cold)
+    balancer = Balancer(SETTINGS, catalog, members, random.Random(1))
+    return catalog, balancer
+
+
+def make_query(route=None, key=None, now=0.0, tried=()):
+    route = route or make_route()
+    return Query("s", route, key, now, now + route.timeout, frozenset(tried))
--- /dev/null
+++ b/tests/test_allowances.py
@@ -0,0 +1,62 @@
+"""Shares, rates and budgets that instances keep without asking each other."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from turmericrudder.steering import (
+    Backend,
+    BackendSplit,
+    RetryAllowance,
+)
+from turmericrudder.steering.cold_gate import ColdGate
+
+
+@given(st.lists(st.integers(0, 40), min_size=1, max_size=5))
+def test_split_is_exact_over_its_sum(weights):
+    backends = tuple(Backend(f"s{n}", float(w)) for n, w in enumerate(weights))
+    split, counts = BackendSplit(), dict.fromkeys((b.service for b in backends), 0)
+    for _ in range(sum(weights)):
+        counts[split.choose(backends)] += 1
+    assert list(counts.values()) == [*map(int, weights)]
+
+
+@settings(max_examples=50)
+@given(st.lists(st.floats(0.0, 0.2), max_size=200), st.integers(1, 9))
+def test_instances_together_keep_the_rate_of_a_cold_target(gaps, seed):
+    """Two instances that both believe to feed it; naive count of each second."""
+    chooser = random.Random(seed)
+    gates = [ColdGate(), ColdGate()]
+    now, sent = 0.0, []
+    for gap in gaps:
+        now += gap
+        gate = chooser.choice(gates)
+        if gate.is_open(7.3, 1.5, 5, now):
+            gate.note(now)
+            sent.append(now)
+    for start in sent:
+        assert sum(start <= at < start + 1.0 for at in sent) <= 7.3 * 1.5 + 5
+
+
+@settings(max_examples=50)
+@given(st.lists(st.tuples(st.floats(0.0, 0.5), st.booleans()), max_size=300))
+def test_repeats_stay_within_the_budget_of_every_window(steps):
+    instances, ratio, extra, window = 4, 0.2, 64, 10.0
+    allowance = RetryAllowance(ratio, extra, window)
+    now, requests, repeats = 0.0, [], []
+    for gap, is_repeat in steps:
+        now += gap
+        if not is_repeat:
+            allowance.note_request(now)
+            requests.append(now)
+        elif allowance.spend(now, instances):
+            repeats.append(now)
+    for start in repeats:
+        spent = sum(start <= at < start + window for at in repeats)
+        # The rule counts the requests of the window or of the one before it.
+        earned = max(
+            sum(at - window <= then < at for then in requests)
+            for at in (start, start + window / 2, start + window)
+        )
+        assert spent <= ratio * earned + extra / instances
--- /dev/null
+++ b/tests/test_gateway_news.py
@@ -0,0 +1,131 @@
+"""What the store tells a gateway while it serves."""
+
+import anyio
+import pytest
+
+from turmericrudder.events import read_log
+from turmericrudder.platform import names
+
+from .platform_documents import HOST, make_configuration, make_registration, make_route
+from .platform_rig import wait_for
+
+BASE = 21300  # first port of this file's rig
+
+
+APPLY_LIMIT = 2.5  # seconds until a change of the store is in force
+
+
+DRAIN_LIMIT = 2.5  # seconds until a leaving target gets no new request
+
+
+COLD_START = 1.2  # seconds; a little more than the configuration's
+
+
+@pytest.mark.anyio
+async def test_draining_target_gets_nothing_new(rig):
+    port = rig.get_target_port(0)
+    await rig.put({"servers/t0": make_registration(port, state="draining", seq=2)})
+    await anyio.sleep(DRAIN_LIMIT / 5)
+    rig.targets[0].runs.clear()
+    for _ in range(10):
+        assert (await rig.ask()).status == 200
+    assert rig.targets[0].runs == []
+    await rig.put({"servers/t0": make_registration(port, seq=3)})
+
+
+@pytest.mark.anyio
+async def test_malformed_entry_names_no_target_and_spoils_nothing(rig):
+    await rig.put({"servers/bad": {"service": 7}, "servers/worse": "?"})
+    await anyio.sleep(0.3)
+    assert (await rig.ask()).status == 200
+    await rig.put({"servers/bad": None, "servers/worse": None})
+
+
+@pytest.mark.anyio
+async def test_evacuated_domain_gets_nothing(rig):
+    await rig.put({"op/evacuate/a1": {}})
+    await anyio.sleep(0.3)
+    assert (await rig.ask()).status == 503
+    assert rig.get_runs() == []
+    await rig.put({"op/evacuate/a1": None})
+
+    async def is_back():
+        return (await rig.ask()).status == 200
+
+    await wait_for(is_back, APPLY_LIMIT)
+    # Until then its targets count as cold and take few requests a second.
+    await anyio.sleep(COLD_START)
+
+
+@pytest.mark.anyio
+async def test_configuration_never_goes_back(rig):
+    routes = [
+        make_route(),
+        make_route("r2", "/write/", "non_idempotent"),
+        make_route("r3", "/slow/", timeout_ms=300),
+        make_route("r9", "/new/"),
+    ]
+    key = names.CONFIGURATION_KEY
+    await rig.put({key: make_configuration(12, routes)})
+
+    async def is_new():
+        return (await rig.ask("/new/x")).status == 200
+
+    await wait_for(is_new, APPLY_LIMIT)
+    await rig.put({key: make_configuration(9, routes[:3])})
+    await anyio.sleep(0.3)
+    assert await is_new()
+
+
+@pytest.mark.anyio
+async def test_store_outage_and_lost_history_stop_nothing(rig):
+    await rig.set_fault(outage=True)
+    for _ in range(10):
+        assert (await rig.ask()).status == 200
+        await anyio.sleep(0.05)
+    await rig.set_fault(forget=True)
+    await anyio.sleep(0.7)
+    await rig.set_fault()
+    await rig.put({"servers/t9": make_registration(9)})
+    assert (await rig.ask()).status == 200
+    await rig.put({"servers/t9": None})
+
+
+@pytest.mark.anyio
+async def test_directory_names_the_instance_and_metrics_count(rig):
+    answer = await rig.get(3, names.CALL_RESOLVE + "?name=h.example&region=a&zone=a1")
+    assert answer.status == 200
+    assert f"{HOST}:{rig.get_port(1)}".encode() in answer.content
+    metrics = await rig.get(5, "/metrics")
+    assert b"turmericrudder_requests" in metrics.content
+
+
+@pytest.mark.anyio
+async def test_entry_that_was_taken_away_is_written_again(rig):
+    """The key is gone while its lease lives, which no call of ours shows."""
+    name = f"members/g{rig.base}"
+    assert await rig.has_key(name)
+    await rig.put({name: None})
+    assert not await rig.has_key(name)
+
+    async def is_back():
+        return await rig.has_key(name)
+
+    await wait_for(is_back, 3.0)
+
+
+@pytest.mark.anyio
+async def test_lost_and_regained_store_have_lines(rig):
+    await rig.set_fault(outage=True)
+    await anyio.sleep(2.0)
+    await rig.set_fault()
+    await anyio.sleep(2.0)
+    names_written = [
+        line.name for line in read_log([rig.log]) if line.instance == f"g{rig.base}"
+    ]
+    for lost, regained in (
+        ("store_unreachable", "store_reachable"),
+        ("entry_unkept", "entry_kept"),
+    ):
+        assert lost in names_written
+        assert regained in names_written[names_written.index(lost) :]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,7 +26,7 @@
 )
 from turmericrudder.steering import Backend, Member, RequestKind
 
-from .platform_rig import make_configuration, make_registration, make_route
+from .platform_documents import make_configuration, make_registration, make_route
 
 STORE = Address("127.0.20.2", 21990)
 
--- a/tests/test_platform_commands.py
+++ b/tests/test_platform_commands.py
@@ -7,31 +7,29 @@
 import msgspec
 import pytest
 
+from standins.gateway import GRACE
 from turmericrudder.cli.exits import ExitCode
 
-from .platform_rig import HOST, Rig, make_registration
+from .platform_documents import HOST, make_registration
 
-
-@pytest.fixture(scope="module")
-def anyio_backend():
-    return "asyncio"
+BASE = 21600  # first port of this file's rig
 
 
 @pytest.fixture(scope="module")
-async def rig(anyio_backend, tmp_path_factory):
-    async with Rig(21600, tmp_path_factory.mktemp("commands")) as rig:
-        port = rig.get_target_port(0)
-        await rig.put(
-            {
-                "servers/leaves": make_registration(port, state="draining"),
-                "servers/away": make_registration(port, zone="b1"),
-                "servers/odd": make_registration(port, service="s9"),
-                "servers/bad": {"service": 7},
-                "op/evacuate/b1": {},
-                "members/bad": {},
-            }
-        )
-        yield rig
+async def rig(module_rig):
+    """The file's gateway, with entries of all kinds in the store."""
+    port = module_rig.get_target_port(0)
+    await module_rig.put(
+        {
+            "servers/leaves": make_registration(port, state="draining"),
+            "servers/away": make_registration(port, zone="b1"),
+            "servers/odd": make_registration(port, service="s9"),
+            "servers/bad": {"service": 7},
+            "op/evacuate/b1": {},
+            "members/bad": {},
+        }
+    )
+    return module_rig
 
 
 async def run(*arguments):
@@ -88,7 +86,7 @@
     code, text = await run("platform", "check", str(good))
     assert code == 0 and "no error" in text
     bad = tmp_path / "bad.ini"
-    bad.write_text(good.read_text().replace("grace = 4s", "grace = soon"))
+    bad.write_text(good.read_text().replace(f"grace = {GRACE}s", "grace = soon"))
     code, _ = await run("platform", "check", str(bad))
     assert code == ExitCode.SETTINGS_INVALID
 
