--- a/tests/test_differential.py
+++ b/tests/test_differential.py
@@ -8,15 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from turmericrudder.address import Address
 from turmericrudder.configuration import (
     BlockTable,
-    Configuration,
     PackedBlocks,
-    RequestClass,
-    Service,
     Source,
-    Target,
     join_chunks,
     split_chunks,
 )
@@ -34,6 +29,8 @@
     allot_cap,
 )
 
+from .routing_makers import make_configuration
+
 settings.register_profile("fixed", derandomize=True, deadline=None, max_examples=150)
 settings.load_profile("fixed")
 
@@ -170,25 +167,6 @@
             assert rank_names(key, left)[0] == first
 
 
-SERVICE = Service(
-    "reads", "t", (RequestClass("c", "*", "*", False, True, False, 1, 1, 1),), 5, 3,
-    {"gulf": 4}, 0.5, 10.0, 2, 0.04, 429, 503, "", "",
-)  # fmt: skip
-
-
-def make_configuration(count):
-    targets = {
-        f"t{number}": Target(
-            f"t{number}", "reads", "gulf-a", Address("127.0.0.1", 9000 + number)
-        )
-        for number in range(count)
-    }
-    return Configuration(
-        1, "w", {"gulf-a": "gulf"}, {"gulf-a": 1}, {"reads": SERVICE}, targets,
-        BlockTable(PackedBlocks.pack([])), frozenset(), 1_000_000,
-    )  # fmt: skip
-
-
 @given(st.integers(0, 2**32), st.integers(1, 4))
 def test_pool_counts_like_a_naive_list(seed, count):
     rng = random.Random(seed)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -34,9 +34,9 @@
 
 async def route(request_class, *ends, saved=5):
     """Return (end, number of tries) of a request under a script."""
-    budget = Budget(1.0, 10)
+    budget = Budget(2.0, 10)
     for _ in range(saved):
-        budget.earn()
+        budget.earn_part()
     script = Script(*ends)
     pool = SimpleNamespace(get_states=lambda service: [object()])
     router = Router(
--- a/turmericrudder/daemon/entry.py
+++ b/turmericrudder/daemon/entry.py
@@ -45,7 +45,7 @@
 GATHER = 0.05  # seconds in which changes are gathered
 RESTART_PAUSE = 1.0  # seconds
 EXTRA_SHARE = 0.05  # retries and hedges for each request
-EXTRA_BURST = 10
+EXTRA_BURST = 6
 EXTRA_RESERVE = 4
 PART_TIMEOUT = 3.0  # seconds
 
--- a/turmericrudder/forwarding/dispatcher.py
+++ b/turmericrudder/forwarding/dispatcher.py
@@ -26,10 +26,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """Asks for a slot; ``wait`` allows to queue for it."""
+    """Asks for a slot; ``wait`` allows to queue for it.
+
+    :param avoid: state of a target whose slots are of no use, or ``None``.
+    """
 
     work: Work
     wait: bool
+    avoid: object = None
     reply: _Reply = field(default_factory=_Reply)
 
 
@@ -83,9 +87,9 @@
         """Send a message that wants no answer; never waits."""
         self._sender.send_nowait(message)
 
-    async def claim(self, work, wait):
+    async def claim(self, work, wait, avoid=None):
         """Return a :class:`Grant` or a :class:`Refusal`."""
-        claim = Claim(work, wait)
+        claim = Claim(work, wait, avoid)
         self._sender.send_nowait(claim)
         try:
             await claim.reply.event.wait()
@@ -119,8 +123,8 @@
 
     def _handle(self, message, now):
         match message:
-            case Claim(work, wait, reply):
-                self._claim(work, wait, reply, now)
+            case Claim():
+                self._claim(message, now)
             case GiveBack(grant, result):
                 self._give_back(grant, result, now)
                 self._tell_released(grant.state.target.name)
@@ -138,11 +142,13 @@
             target = grant.state.target.name
             self._log.write(catalogue.TARGET_EJECTED, target=target)
 
-    def _claim(self, work, wait, reply, now):
+    def _claim(self, claim, now):
+        work, reply = claim.work, claim.reply
         if reply.abandoned:
             return
-        answer = self.pool.claim(work, now)
-        if isinstance(answer, Refusal) and wait and self.pool.get_states(work.service):
+        answer = self.pool.claim(work, now, claim.avoid)
+        can_wait = claim.wait and self.pool.get_states(work.service)
+        if isinstance(answer, Refusal) and can_wait:
             answer = self.pool.wait(work, reply, now)
         if not isinstance(answer, Waiting):
             self._answer(reply, answer)
--- a/turmericrudder/forwarding/router.py
+++ b/turmericrudder/forwarding/router.py
@@ -75,13 +75,12 @@
             :class:`Unknown`.
         :raises UpstreamCut: if the answer broke off after its head.
         """
-        self._budget.earn()
+        self._budget.earn_part()
         steps = plan_steps(self._owns_targets(request), self._rank_peers(request))
         return await self._walk(steps, request, responder, collector)
 
     async def route_owned(self, request, responder, wait):
         """Run a request that another instance forwarded; never forward it again."""
-        self._budget.earn()
         if not self._owns_targets(request):
             return Turned("not_owned")
         return await self._walk([AtTarget(wait)], request, responder, None)
--- a/turmericrudder/forwarding/target_attempt.py
+++ b/turmericrudder/forwarding/target_attempt.py
@@ -24,6 +24,7 @@
 
     __slots__ = (
         "_dispatcher",
+        "_is_overdue",
         "_link",
         "_request",
         "_result",
@@ -46,6 +47,7 @@
         self._upstreams = upstreams
         self._result = Cancelled()
         self._link = None
+        self._is_overdue = False
 
     @property
     def target(self):
@@ -75,6 +77,11 @@
             await self._upstreams.forget(self.target.name)
             await self._resolve()
 
+    def note_overdue(self):
+        """Note that the answer takes longer than most."""
+        self._is_overdue = True
+        self.grant.state.note_overdue(anyio.current_time() - self.began)
+
     def finish(self):
         """Note that the answer was read to its end."""
         self._result = Finished(self.latency)
@@ -89,6 +96,8 @@
             with anyio.CancelScope(shield=True):
                 await self._release_link()
         finally:
+            if self._is_overdue:
+                self.grant.state.forget_overdue()
             self._dispatcher.tell(GiveBack(self.grant, self._result))
 
     async def _classify(self, exchanged, prefetch_bytes):
--- a/turmericrudder/forwarding/target_runner.py
+++ b/turmericrudder/forwarding/target_runner.py
@@ -11,8 +11,6 @@
 
 __all__ = ["TargetRunner"]
 
-LOSER_FACTOR = 3.0
-
 
 class TargetRunner:
     """Claims slots, races attempts, and passes the first answer on."""
@@ -47,6 +45,7 @@
         answer = await self._dispatcher.claim(request.work, wait)
         if isinstance(answer, Refusal):
             return Turned(answer.obstacle.value)
+        self._budget.earn_part()
         attempts = [self._start(answer, request)]
         try:
             winner = await self._race(attempts, request)
@@ -71,14 +70,16 @@
                 ended = await _receive_within(receiver, delay)
                 if ended is not None:
                     running -= 1
-                elif await self._add_hedge(attempts, request):
-                    tasks.start_soon(self._run_one, attempts[1], request, sender)
-                    running += 1
+                else:
+                    attempts[0].note_overdue()
+                    if await self._add_hedge(attempts, request):
+                        tasks.start_soon(self._run_one, attempts[1], request, sender)
+                        running += 1
                 while running and (ended is None or ended.answered is None):
                     ended = await receiver.receive()
                     running -= 1
                 tasks.cancel_scope.cancel()
-        _note_losers(attempts, ended)
+        _note_overtaken(attempts, ended)
         return ended
 
     async def _run_one(self, attempt, request, sender):
@@ -88,7 +89,7 @@
     async def _add_hedge(self, attempts, request):
         """Start a second attempt if a slot and the budget allow it."""
         first = attempts[0]
-        answer = await self._dispatcher.claim(request.work, False)
+        answer = await self._dispatcher.claim(request.work, False, first.grant.state)
         if not isinstance(answer, Grant):
             return False
         if not _is_faster(answer, first) or not self._budget.spend_hedge():
@@ -124,7 +125,8 @@
             await attempt.answered.aclose()
         attempt.finish()
         if request.request_class.idempotent:
-            self._get_clock(request).record(attempt.latency)
+            now = anyio.current_time()
+            self._get_clock(request).record(attempt.latency, now)
         return Passed()
 
     def _get_prefetch(self, request):
@@ -146,21 +148,15 @@
     When all targets are slow, a second attempt is only more work.
     """
     now = anyio.current_time()
-    if grant.state is first.grant.state:
-        return False
     return grant.state.get_latency(now) < now - first.began
 
 
-def _note_losers(attempts, winner):
-    """Note how slow the attempts were that a later one overtook.
-
-    Their real latency is never seen, as they are cancelled.
-    """
+def _note_overtaken(attempts, winner):
+    """Note how slow the attempts were that a later one overtook."""
     now = anyio.current_time()
     for attempt in attempts[:-1]:
         if attempt is not winner and attempt.latency is None:
-            elapsed = now - attempt.began
-            attempt.grant.state.note_slow(LOSER_FACTOR * elapsed, now)
+            attempt.grant.state.note_overtaken(now - attempt.began, now)
 
 
 def _combine(attempts):
--- a/turmericrudder/routing/budget.py
+++ b/turmericrudder/routing/budget.py
@@ -2,6 +2,8 @@
 
 __all__ = ["Budget"]
 
+PARTS = 2  # places that count a request: where it came in, and where it runs
+
 
 class Budget:
     """Each request earns ``share`` of an extra one, up to ``burst`` saved.
@@ -22,9 +24,9 @@
         self._reserve = reserve
         self._saved = float(reserve)
 
-    def earn(self):
-        """Count one ordinary request."""
-        self._saved = min(self._burst, self._saved + self._share)
+    def earn_part(self):
+        """Count one ordinary request at one of the places that see it."""
+        self._saved = min(self._burst, self._saved + self._share / PARTS)
 
     def spend_retry(self):
         """Return whether a request may be sent again, and count it."""
--- a/turmericrudder/routing/pool.py
+++ b/turmericrudder/routing/pool.py
@@ -118,11 +118,16 @@
         self._forget_idle(now)
         return taken, released
 
-    def claim(self, work, now):
-        """Return a :class:`Grant` or a :class:`Refusal`."""
+    def claim(self, work, now, avoid=None):
+        """Return a :class:`Grant` or a :class:`Refusal`.
+
+        :param avoid: state of a target that must not be granted.
+        """
         limits = self._get_foreign_limits(work, now)
         candidates, obstacles = [], set()
         for state in self.get_states(work.service):
+            if state is avoid:
+                continue
             limit = limits.get(state.target.name, 0)
             obstacle = state.get_obstacle(work, limit, now)
             if obstacle is None:
--- a/turmericrudder/routing/target_state.py
+++ b/turmericrudder/routing/target_state.py
@@ -9,7 +9,8 @@
 __all__ = ["TargetState"]
 
 LATENCY_WEIGHT = 0.2
-LATENCY_HALF_LIFE = 2.0  # seconds without an answer
+LATENCY_HALF_LIFE = 5.0  # seconds without an answer; load reports may be as late
+OVERDUE_FACTOR = 3.0  # times the age of an overdue request: its latency, guessed
 FAILURES_TO_EJECT = 3
 EJECT_MIN = 0.5  # seconds
 EJECT_MAX = 15.0  # seconds
@@ -28,6 +29,8 @@
         "_lingering",
         "_latency",
         "_latency_at",
+        "_overdue",
+        "_overdue_latency",
         "adoption",
         "draining",
         "drained",
@@ -59,6 +62,8 @@
         self._drain_until = 0.0
         self._latency = None
         self._latency_at = 0.0
+        self._overdue = 0
+        self._overdue_latency = 0.0
 
     def is_leaving(self):
         """Return whether target, list or operator say that it takes no work."""
@@ -146,22 +151,46 @@
             _, work = self._lingering.popleft()
             self._uncount(work)
 
-    def note_slow(self, elapsed, now):
-        """Note that a request would take ``elapsed`` seconds at least."""
-        if elapsed > self.get_latency(now):
-            self._latency = elapsed
+    def note_overdue(self, elapsed):
+        """Note that a request in flight takes longer than most.
+
+        :param elapsed: seconds since it was sent.
+        """
+        self._overdue += 1
+        guess = OVERDUE_FACTOR * elapsed
+        self._overdue_latency = max(self._overdue_latency, guess)
+
+    def forget_overdue(self):
+        """Note that a request noted as overdue is no longer in flight."""
+        self._overdue -= 1
+        if not self._overdue:
+            self._overdue_latency = 0.0
+
+    def note_overtaken(self, elapsed, now):
+        """Note that a request was cancelled as another target answered first.
+
+        Its real latency is never seen.
+
+        :param elapsed: seconds since it was sent.
+        """
+        guess = OVERDUE_FACTOR * elapsed
+        if guess > self._get_learned_latency(now):
+            self._latency = guess
             self._latency_at = now
 
     def get_latency(self, now):
-        """Return the decayed latency estimate in seconds."""
-        if self._latency is None:
-            return 0.0
-        return self._latency * 0.5 ** ((now - self._latency_at) / LATENCY_HALF_LIFE)
+        """Return the latency in seconds to expect of a request sent now."""
+        return max(self._overdue_latency, self._get_learned_latency(now))
 
     def is_ejected(self, now):
         """Return whether failures keep the target out for now."""
         return now < self._ejected_until
 
+    def _get_learned_latency(self, now):
+        if self._latency is None:
+            return 0.0
+        return self._latency * 0.5 ** ((now - self._latency_at) / LATENCY_HALF_LIFE)
+
     def _meet_other_owner(self, now):
         self.takeover.push_back(now)
         if self.adoption is not None:
@@ -176,7 +205,7 @@
         self.foreign -= self.is_foreign(work)
 
     def _learn_latency(self, latency, now):
-        known = self.get_latency(now)
+        known = self._get_learned_latency(now)
         if self._latency is None or latency > known:
             # A slowdown is believed at once, a recovery answer by answer.
             known = latency if self._latency is None else (known + latency) / 2
