--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m bench demo|run|capacity``."""
+"""``python -m bench demo|run|capacity|report``."""
 
 import sys
 import time
@@ -12,6 +12,7 @@
 from .demo import run_demo
 from .experiments import EXPERIMENTS
 from .generator import Plan, generate
+from .journal import JournalInvalid
 from .lookup_load import LookupPlan, generate_lookups
 
 app = typer.Typer(
@@ -52,6 +53,23 @@
     _run_all({"capacity": run_capacity}, seed, json)
 
 
+@app.command()
+def report(
+    page: Path = typer.Argument(Path("build/report.html"), help="Page to write"),
+    journal: Path = typer.Option(Path("journal"), help="Folder of the journal"),
+) -> None:
+    """Show worth and losses of the journal's rounds on one HTML page."""
+    # The plotting library takes longer to load than the other commands take.
+    from .report import write_report
+
+    page.parent.mkdir(parents=True, exist_ok=True)
+    try:
+        count = write_report(journal, page)
+    except JournalInvalid as exc:
+        raise SystemExit(str(exc)) from exc
+    typer.echo(f"{count} rounds written to {page}")
+
+
 def _run_all(experiments, seed, json):
     documents, passed = [], True
     for name, experiment in experiments.items():
