Count a target that is still dialled among those that may have a request

Cause: read again after the commit: a second send counted the sends, and a first send whose connection is still being made is none yet; with max_attempts 1 the second could go to another target.

Ruled out: nothing else counts sends in place of targets.

Figures: test_second_send_stays_at_a_target_that_is_still_dialled fails before.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -54,9 +54,11 @@
 
     async def take(self, record, round_trip, must_be_sound):
         step = self.steps.pop(0)
+        self.targets.append(record.endpoint.id)
         if step == "refused":
             raise LinkRefused("refused")
-        self.targets.append(record.endpoint.id)
+        if step == "dialling":
+            await anyio.sleep(SLOW)
         self.links.append(ScriptedLink(step))
         return self.links[-1]
 
@@ -175,3 +177,11 @@
     answer = await forward(pool, targets=("t", "u", "v"), allowance=allowance)
     assert isinstance(answer, Whole)
     assert (allowance.requests, allowance.repeats) == (1, 0)
+
+
+@pytest.mark.anyio
+async def test_second_send_stays_at_a_target_that_is_still_dialled():
+    pool = ScriptedPool("dialling", (QUICK, 200))
+    assert isinstance(await forward(pool, targets="abcdefghijklmnopqrst"), Whole)
+    assert len(pool.targets) == 2
+    assert len(set(pool.targets)) == 1
--- a/turmericrudder/gateway/course.py
+++ b/turmericrudder/gateway/course.py
@@ -42,6 +42,13 @@
         """Note that the target of one send says that it did not run it."""
         self._possible_runs -= 1
 
+    def may_spread(self):
+        """Return whether a further target may get the request beside the others.
+
+        One that is still dialled may have it soon.
+        """
+        return len(self.tried) - self.connects < self.request.route.max_attempts
+
     def may_go_on(self, outcome):
         """Return whether another target may get the request."""
         route = self.request.route
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -120,7 +120,7 @@
             request.expires,
             frozenset(course.tried),
             running,
-            running is None or course.sends < request.route.max_attempts,
+            running is None or course.may_spread(),
         )
 
     async def _send(self, course, choice, is_second=False):
