--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -39,6 +39,18 @@
         assert sum(start <= at < start + 1.0 for at in sent) <= 7.3 * 1.5 + 5
 
 
+def check_every_window(requests, repeats, ratio, extra, window):
+    """Check the budget in the window that begins with each repeat."""
+    for start in repeats:
+        spent = sum(start <= at < start + window for at in repeats)
+        # The rule counts the requests of the window or of the one before it.
+        earned = max(
+            sum(at - window <= then < at for then in requests)
+            for at in (start, start + window / 2, start + window)
+        )
+        assert spent <= ratio * earned + extra
+
+
 @settings(max_examples=50)
 @given(st.lists(st.tuples(st.floats(0.0, 0.5), st.booleans()), max_size=300))
 def test_repeats_stay_within_the_budget_of_every_window(steps):
@@ -52,14 +64,7 @@
             requests.append(now)
         elif allowance.spend(now, instances):
             repeats.append(now)
-    for start in repeats:
-        spent = sum(start <= at < start + window for at in repeats)
-        # The rule counts the requests of the window or of the one before it.
-        earned = max(
-            sum(at - window <= then < at for then in requests)
-            for at in (start, start + window / 2, start + window)
-        )
-        assert spent <= ratio * earned + extra / instances
+    check_every_window(requests, repeats, ratio, extra / instances, window)
 
 
 @settings(max_examples=50)
@@ -80,10 +85,4 @@
                 allowance = RetryAllowance(ratio, extra, window, now)
             case _ if allowance.spend(now, 1):
                 repeats.append(now)
-    for start in repeats:
-        spent = sum(start <= at < start + window for at in repeats)
-        earned = max(
-            sum(at - window <= then < at for then in requests)
-            for at in (start, start + window / 2, start + window)
-        )
-        assert spent <= ratio * earned + extra
+    check_every_window(requests, repeats, ratio, extra, window)
