Take signals before the imports of a gateway's start

The process had just been started; its handlers came after the imports, the better part of a second beside load, and until then SIGTERM and SIGHUP end a process. A reload sent to an instance that starts would have ended it.

Ruled out: a stop that took too long (the soak tells those as exit None).

The interpreter's own start, some tens of milliseconds, stays uncovered.

--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,11 +1,17 @@
 """A planned stop of a gateway."""
 
+import os
+import signal
+from functools import partial
+
 import anyio
 import httpcore
 import pytest
 
+from standins.gateway import start_gateway
+
 from .platform_documents import get_header
-from .platform_rig import Rig
+from .platform_rig import Rig, wait_for
 
 
 @pytest.mark.anyio
@@ -32,3 +38,37 @@
         assert rig.process.returncode == 0
         with pytest.raises(httpcore.ConnectError):
             await rig.ask()
+
+
+@pytest.mark.anyio
+async def test_signals_during_the_start_reload_nothing_and_end_it(tmp_path):
+    """The settings file is a pipe, so that the start waits for its content."""
+    path = tmp_path / "settings.ini"
+    os.mkfifo(path)
+    process = start_gateway(path, tmp_path / "log")
+    writers = []
+    try:
+        await wait_for(partial(is_read, path, writers), 10.0)
+        process.send_signal(signal.SIGHUP)
+        await anyio.sleep(0.2)
+        assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        with anyio.fail_after(2.0):
+            while process.poll() is None:
+                await anyio.sleep(0.02)
+        assert process.returncode == 0
+    finally:
+        process.kill()
+        process.wait()
+        for writer in writers:
+            os.close(writer)
+
+
+async def is_read(path, writers):
+    """Return whether a named pipe has a reader; keep its end for writing open."""
+    try:
+        writer = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+    except OSError:
+        return False
+    writers.append(writer)
+    return True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,8 @@
     # Clients that kept coming held a stop to 0.9 of the grace time, and the end
     # of the process beside load took the rest.
     (110, 10.0),
+    # Stopped while it started: the signal came before anything could take it.
+    (7303, 10.0),
 )
 
 
--- a/turmericrudder/gateway/__init__.py
+++ b/turmericrudder/gateway/__init__.py
@@ -1,5 +1,4 @@
-"""The entry instance on a platform that has a directory of its clients."""
+"""The entry instance on a platform that has a directory of its clients.
 
-from .instance import Gateway, run_gateway
-
-__all__ = ["Gateway", "run_gateway"]
+Nothing is imported here, so that the program can take signals before that.
+"""
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -43,14 +43,15 @@
 class Gateway:
     """One instance: what it believes, and the parts that act on it."""
 
-    def __init__(self, settings, settings_path=None):
+    def __init__(self, settings, settings_path, settings_stamp):
         """Prepare without opening a socket.
 
         :param settings_path: file to read again when it changes.
+        :param settings_stamp: the file's state just before it was read.
         """
         self.settings = settings
         self._settings_path = settings_path
-        self._settings_stamp = _get_stamp(settings_path)
+        self._settings_stamp = settings_stamp
         self.log = EventLog(instance=settings.name)
         self.metrics = Metrics()
         self.request_log = RequestLog(self.log)
@@ -196,13 +197,14 @@
 
 async def run_gateway(path):
     """Run an instance with the settings file at ``path`` until it is stopped."""
-    await Gateway(read_gateway_settings(path), path).run()
+    stamp = _get_stamp(path)
+    await Gateway(read_gateway_settings(path), path, stamp).run()
 
 
 def _get_stamp(path):
     """Return what tells one state of a file from the next, or ``None``."""
     try:
         found = os.stat(path)
-    except (OSError, TypeError):
+    except OSError:
         return None
     return found.st_mtime_ns, found.st_size, found.st_ino
