Look headers up in one function

Cause: the parser of targets' answers, the gateway's tests and forwarding each had the same loop over headers. It stands with the headers of a hop now, in headers.py.

Ruled out: a dictionary of the headers (a repeated header has its first value here).

--- a/tests/platform_documents.py
+++ b/tests/platform_documents.py
@@ -61,10 +61,3 @@
         "seq": seq,
         **more,
     }
-
-
-def get_header(answer, name):
-    for key, value in answer.headers:
-        if key.lower() == name:
-            return value
-    return None
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -3,9 +3,9 @@
 import anyio
 import pytest
 
+from turmericrudder.headers import get_header
 from turmericrudder.platform import names
 
-from .platform_documents import get_header
 from .platform_rig import wait_for
 
 BASE = 21000  # first port of this file's rig
@@ -19,8 +19,8 @@
     answer = await rig.ask("/read/a%20b", attempt_id="abc")
     assert answer.status == 200
     assert answer.content == b"/read/a%20b abc 0"
-    assert get_header(answer, names.SIGNATURE) == b"signed"
-    assert get_header(answer, names.ATTEMPT_ID) == b"abc"
+    assert get_header(answer.headers, names.SIGNATURE) == b"signed"
+    assert get_header(answer.headers, names.ATTEMPT_ID) == b"abc"
 
 
 @pytest.mark.anyio
@@ -79,7 +79,7 @@
     runs = len(rig.get_runs())
     answer = await rig.ask("/write/x", "POST")
     assert answer.status == 503
-    assert get_header(answer, b"retry-after") is not None
+    assert get_header(answer.headers, b"retry-after") is not None
     assert len(rig.get_runs()) == runs
 
 
@@ -140,5 +140,5 @@
     method, path = method_path
     answer = await rig.ask(path, method, attempt_id="only")
     assert answer.status == 500
-    assert get_header(answer, names.SIGNATURE) == b"signed"
+    assert get_header(answer.headers, names.SIGNATURE) == b"signed"
     assert rig.get_runs() == ["only"]
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -9,8 +9,8 @@
 import pytest
 
 from standins.gateway import start_gateway
+from turmericrudder.headers import get_header
 
-from .platform_documents import get_header
 from .platform_rig import Rig, wait_for
 
 
@@ -31,7 +31,7 @@
             tasks.start_soon(ask, 0.0)
             assert not await rig.is_ready()
         assert [answer.status for answer in answers] == [200, 200]
-        assert get_header(answers[1], b"connection") == b"close"
+        assert get_header(answers[1].headers, b"connection") == b"close"
         with anyio.fail_after(4.0):
             while rig.process.poll() is None:
                 await anyio.sleep(0.05)
--- a/turmericrudder/caller/caller.py
+++ b/turmericrudder/caller/caller.py
@@ -10,8 +10,9 @@
 from ..errors import UpstreamCut
 from ..forwarding.exchange import Answered, NotSent
 from ..forwarding.exchange import NoAnswer as NoLinkAnswer
-from ..forwarding.headers import VERDICT, get_header
+from ..forwarding.headers import VERDICT
 from ..forwarding.links import Links
+from ..headers import get_header
 from ..lookup import LookupAnswer
 from ..units import MS_PER_SECOND
 from .answer import CallerAnswer
--- a/turmericrudder/daemon/application.py
+++ b/turmericrudder/daemon/application.py
@@ -24,7 +24,8 @@
     Turned,
     Unknown,
 )
-from ..forwarding.headers import DEADLINE, KEY, get_header, strip_headers
+from ..forwarding.headers import DEADLINE, KEY, strip_headers
+from ..headers import get_header
 from ..routing import Work
 from ..units import MS_PER_SECOND
 from ..verdict import Verdict
--- a/turmericrudder/daemon/peer_application.py
+++ b/turmericrudder/daemon/peer_application.py
@@ -7,15 +7,9 @@
 from ..errors import RequestRefused, UpstreamCut
 from ..events import catalogue
 from ..forwarding import CallerGone, Responder
-from ..forwarding.headers import (
-    HOME_REGION,
-    ORIGIN,
-    PEER_KEY,
-    ROLE,
-    WAIT,
-    get_header,
-)
+from ..forwarding.headers import HOME_REGION, ORIGIN, PEER_KEY, ROLE, WAIT
 from ..forwarding.peer_runner import ROLE_HOME
+from ..headers import get_header
 from ..operation import KeyInvalid, OperationKey
 from ..units import MS_PER_SECOND
 from ..verdict import Verdict
--- a/turmericrudder/forwarding/headers.py
+++ b/turmericrudder/forwarding/headers.py
@@ -1,6 +1,6 @@
 """Names of headers, and which of them may pass from one side to the other."""
 
-from ..hop import get_hop_headers
+from ..headers import get_hop_headers
 
 __all__ = [
     "DEADLINE",
@@ -13,7 +13,6 @@
     "ROLE",
     "VERDICT",
     "WAIT",
-    "get_header",
     "strip_headers",
 ]
 
@@ -35,14 +34,6 @@
 _HOST = b"host"
 
 
-def get_header(headers, name):
-    """Return the first value of a lower-case header name, or ``None``."""
-    for key, value in headers:
-        if key.lower() == name:
-            return value
-    return None
-
-
 def strip_headers(headers):
     """Return headers without those that end at this hop or are our own."""
     dropped = get_hop_headers(headers) | {_HOST}
--- a/turmericrudder/forwarding/peer_runner.py
+++ b/turmericrudder/forwarding/peer_runner.py
@@ -3,11 +3,12 @@
 import anyio
 
 from ..events import catalogue
+from ..headers import get_header
 from ..units import MS_PER_SECOND
 from ..verdict import Verdict
 from .exchange import NoAnswer, NotSent
 from .head import get_limits, get_upstream_headers
-from .headers import HOME_REGION, ORIGIN, PEER_KEY, ROLE, VERDICT, WAIT, get_header
+from .headers import HOME_REGION, ORIGIN, PEER_KEY, ROLE, VERDICT, WAIT
 from .step import Passed, Ran, Turned, Unknown
 
 __all__ = ["ROLE_HOME", "ROLE_OWNER", "PeerRunner"]
--- a/turmericrudder/gateway/answer_parser.py
+++ b/turmericrudder/gateway/answer_parser.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from ..headers import get_header
 from ..platform import names
 
 __all__ = ["AnswerParser"]
@@ -105,7 +106,7 @@
         if self.status < 200:
             self._is_skipping = True
             return
-        found = _get(self.headers, names.ATTEMPT_ID)
+        found = get_header(self.headers, names.ATTEMPT_ID)
         if found is not None and found != self._expected_id:
             # An answer to an earlier request; ours may follow.
             self._is_skipping = self.is_tainted = True
@@ -144,16 +145,9 @@
             self.error = reason
 
 
-def _get(headers, name):
-    for key, value in headers:
-        if key == name:
-            return value
-    return None
-
-
 def _get_keepalive(headers, known):
     """Return the idle seconds in a ``Keep-Alive`` header, or ``known``."""
-    value = _get(headers, b"keep-alive")
+    value = get_header(headers, b"keep-alive")
     if value is None:
         return known
     for part in value.split(b","):
--- a/turmericrudder/gateway/client_request.py
+++ b/turmericrudder/gateway/client_request.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..hop import get_hop_headers
+from ..headers import get_hop_headers
 from ..platform import names
 from ..steering import Route
 from ..units import MS_PER_SECOND
--- a/turmericrudder/hop.py
+++ b/turmericrudder/headers.py
@@ -1,6 +1,6 @@
-"""Headers that concern one connection only and are never passed on."""
+"""Look headers up, and tell those that concern one connection only."""
 
-__all__ = ["get_hop_headers"]
+__all__ = ["get_header", "get_hop_headers"]
 
 _HOP_HEADERS = frozenset(
     (
@@ -20,6 +20,14 @@
 _LENGTH = b"content-length"
 
 
+def get_header(headers, name):
+    """Return the first value of a lower-case header name, or ``None``."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
 def get_hop_headers(headers):
     """Return the lower-case names of headers that end at this hop.
 
