Say once which outcome of a send is an answer

Cause: the race of two sends repeated what the course of a request already judged.

Ruled out: a method of each outcome (only two of them can be an answer).

--- a/turmericrudder/gateway/course.py
+++ b/turmericrudder/gateway/course.py
@@ -1,6 +1,14 @@
 """What happened to a request so far, and what may still be done with it."""
 
-from .outcome import Broken, Refusal, Refused, Streaming, TurnedAway, Whole
+from .outcome import (
+    Broken,
+    Refusal,
+    Refused,
+    Streaming,
+    TurnedAway,
+    Whole,
+    is_answer,
+)
 
 __all__ = ["Course"]
 
@@ -52,21 +60,16 @@
     def may_go_on(self, outcome):
         """Return whether another target may get the request."""
         route = self.request.route
+        if is_answer(outcome):
+            return False
         match outcome:
             case Refused():
                 self.connects += 1
                 return self.connects < MAX_CONNECTS
-            case TurnedAway():
-                pass
-            case Whole(status) if status < 500:
+            case Whole() | Broken() if not route.is_idempotent:
                 return False
-            case Streaming():
-                return False
-            case Whole() | Broken():
-                if not route.is_idempotent:
-                    return False
-                if isinstance(outcome, Whole):
-                    self._failure = outcome
+            case Whole():
+                self._failure = outcome
         has_body = self.request.body is not None
         return has_body and self.sends < route.max_attempts
 
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -113,14 +113,14 @@
         """
         request = course.request
         return Query(
-            request.service,
-            request.route,
-            request.object_key,
-            request.arrived,
-            request.expires,
-            frozenset(course.tried),
-            running,
-            running is None or course.may_spread(),
+            service=request.service,
+            route=request.route,
+            object_key=request.object_key,
+            arrived=request.arrived,
+            expires=request.expires,
+            tried=frozenset(course.tried),
+            running=running,
+            may_spread=running is None or course.may_spread(),
         )
 
     async def _send(self, course, choice, is_second=False):
--- a/turmericrudder/gateway/outcome.py
+++ b/turmericrudder/gateway/outcome.py
@@ -2,7 +2,15 @@
 
 from dataclasses import dataclass
 
-__all__ = ["Broken", "Refusal", "Refused", "Streaming", "TurnedAway", "Whole"]
+__all__ = [
+    "Broken",
+    "Refusal",
+    "Refused",
+    "Streaming",
+    "TurnedAway",
+    "Whole",
+    "is_answer",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,3 +65,13 @@
     status: int
     reason: str
     retry_after: float | None = None
+
+
+def is_answer(outcome):
+    """Return whether a client should get what a send brought, and no repeat."""
+    match outcome:
+        case Streaming():
+            return True
+        case Whole(status):
+            return status < 500
+    return False
--- a/turmericrudder/gateway/race.py
+++ b/turmericrudder/gateway/race.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from .outcome import Broken, Streaming, Whole
+from .outcome import Broken, Streaming, Whole, is_answer
 
 __all__ = ["run_race"]
 
@@ -26,7 +26,7 @@
                 if second is not None:
                     tasks.start_soon(_run, second, sender)
                     running += 1
-            while len(outcomes) < running and not any(map(_is_answer, outcomes)):
+            while len(outcomes) < running and not any(map(is_answer, outcomes)):
                 outcomes.append(await receiver.receive())
             tasks.cancel_scope.cancel()
         _drop_late(receiver)
@@ -47,18 +47,9 @@
         late.link.close()
 
 
-def _is_answer(outcome):
-    match outcome:
-        case Streaming():
-            return True
-        case Whole(status):
-            return status < 500
-    return False
-
-
 def _get_rank(outcome):
     """Return how much an outcome tells, more for what a client can use."""
-    if _is_answer(outcome):
+    if is_answer(outcome):
         return 3
     match outcome:
         case Whole():
