Say simpler what the pool, the change log and the trace decide

Cause: read again: the idle limit of a connection was worked out twice for a choice; two places of the registry set the change log's revision; one predicate had two halves of the same kind; a parameter hid a module.

Ruled out: a changed order of the pool's connections (the same three cases).

--- a/turmericrudder/daemon/monitor.py
+++ b/turmericrudder/daemon/monitor.py
@@ -48,9 +48,12 @@
         self._listed = frozenset()
         self._pool = httpcore.AsyncConnectionPool(max_connections=64)
 
-    def handle_leaving(self, names):
-        """Take another instance's word for which upstreams are leaving."""
-        self._leaving = frozenset(names)
+    def handle_leaving(self, leaving):
+        """Take another instance's word for which upstreams are leaving.
+
+        :param leaving: their names.
+        """
+        self._leaving = frozenset(leaving)
         self._apply_leaving()
 
     async def run(self):
--- a/turmericrudder/events/trace.py
+++ b/turmericrudder/events/trace.py
@@ -26,6 +26,8 @@
         catalogue.DOMAIN_RESTORED,
     )
 )
+# Outcomes of a send after which the target may have run the request.
+_MAY_HAVE_RUN = ("Broken", "Cancelled", "Whole", "Streaming")
 _HEAD = ("time", "level", "event", "name", "instance", "id")
 
 
@@ -100,10 +102,7 @@
             text += f" because of {last.fields['reason']!r}"
         text += f" after {last.fields.get('ms')} ms and {len(sends)} send(s)"
         may_have_run = [
-            line
-            for line in ended
-            if line.fields.get("outcome") in ("Broken", "Cancelled")
-            or line.fields.get("outcome") in ("Whole", "Streaming")
+            line for line in ended if line.fields.get("outcome") in _MAY_HAVE_RUN
         ]
         if len(may_have_run) > 1:
             text += "; it may have run more than once"
--- a/turmericrudder/gateway/change_log.py
+++ b/turmericrudder/gateway/change_log.py
@@ -45,9 +45,13 @@
         self._events.append(event)
         if len(self._events) > MAX_EVENTS:
             self._first_kept = self._events.popleft().revision
-        self.revision = max(self.revision, event.revision)
+        self.advance(event.revision)
         self._wake()
 
+    def advance(self, revision):
+        """Note that nothing else has changed up to a revision."""
+        self.revision = max(self.revision, revision)
+
     def hold(self, event):
         """Tell nothing from this deletion on until :meth:`release`."""
         self._held.add(event.revision)
--- a/turmericrudder/gateway/link_pool.py
+++ b/turmericrudder/gateway/link_pool.py
@@ -39,16 +39,14 @@
         now = anyio.current_time()
         while waiting:
             link, since = waiting.pop()
-            limit = _get_idle_limit(link)
-            if must_be_sound:
-                limit *= SOUND_PART
-            if link.is_reusable() and now - since < limit:
-                return link
-            if not link.is_reusable() or now - since >= _get_idle_limit(link):
+            idle, limit = now - since, _get_idle_limit(link)
+            if not link.is_reusable() or idle >= limit:
                 link.close()
-            else:
+            elif must_be_sound and idle >= SOUND_PART * limit:
                 waiting.appendleft((link, since))
                 break
+            else:
+                return link
         self.opened += 1
         timeout = max(CONNECT_MIN, CONNECT_FACTOR * round_trip)
         link = await open_link(record.endpoint.address, timeout)
--- a/turmericrudder/gateway/registry.py
+++ b/turmericrudder/gateway/registry.py
@@ -138,7 +138,7 @@
         self._note_reached()
         for event in changes.events:
             self._apply(event)
-        self.change_log.revision = max(self.change_log.revision, changes.revision)
+        self.change_log.advance(changes.revision)
         if changes.events:
             await anyio.sleep(GROUP_PAUSE)
 
@@ -177,7 +177,7 @@
         elif self._is_current:
             for event in news.get_events():
                 self._apply(event)
-            self.change_log.revision = max(self.change_log.revision, news.revision)
+            self.change_log.advance(news.revision)
 
     def _take_all(self, items, revision):
         """Take the store's whole content as of a revision."""
