Take keys apart by the adapter's functions; one connection for a command

Cause: the platform commands cut the keys of targets and members themselves beside get_target_id and get_member_name; evacuated domains had no such function and were cut out in four places; platform targets opened a connection for each of its reads.

Ruled out: nothing.

--- a/turmericrudder/cli/platform.py
+++ b/turmericrudder/cli/platform.py
@@ -1,5 +1,7 @@
 """Commands that show what the platform's store says, as instances read it."""
 
+from contextlib import asynccontextmanager
+
 import anyio
 import msgspec
 import typer
@@ -11,6 +13,9 @@
     decode_configuration,
     decode_endpoint,
     decode_member,
+    get_evacuated_domain,
+    get_member_name,
+    get_target_id,
     names,
 )
 from ..settings import read_gateway_settings
@@ -74,7 +79,7 @@
 def evacuations(store: str = _STORE, as_json: bool = _JSON) -> None:
     """Show the failure domains that get no new work."""
     items = anyio.run(_get_all, store, names.EVACUATION_PREFIX)
-    found = [item.key[len(names.EVACUATION_PREFIX) :] for item in items]
+    found = [get_evacuated_domain(item.key) for item in items]
     if as_json:
         typer.echo(msgspec.json.encode(found).decode())
         return
@@ -96,32 +101,38 @@
         typer.echo("".join(cells).rstrip())
 
 
-async def _get(address, key):
+@asynccontextmanager
+async def _open(address):
     store = MetadataStore(Address.parse(address))
     try:
-        return await store.get(key)
+        yield store
     finally:
         await store.aclose()
 
 
+async def _get(address, key):
+    async with _open(address) as store:
+        return await store.get(key)
+
+
 async def _get_all(address, prefix):
-    store = MetadataStore(Address.parse(address))
-    try:
+    async with _open(address) as store:
         return (await store.get_all(prefix)).items
-    finally:
-        await store.aclose()
 
 
 async def _get_targets(address):
+    async with _open(address) as store:
+        evacuated = await store.get_all(names.EVACUATION_PREFIX)
+        configured = await store.get(names.CONFIGURATION_KEY)
+        registered = await store.get_all(names.TARGET_PREFIX)
     catalog = Catalog()
-    for item in await _get_all(address, names.EVACUATION_PREFIX):
-        catalog.evacuate(item.key[len(names.EVACUATION_PREFIX) :])
-    configured = await _get(address, names.CONFIGURATION_KEY)
+    for item in evacuated.items:
+        catalog.evacuate(get_evacuated_domain(item.key))
     if configured is not None:
         catalog.set_profiles(decode_configuration(configured.value).services)
     rows = []
-    for item in await _get_all(address, names.TARGET_PREFIX):
-        name = item.key[len(names.TARGET_PREFIX) :]
+    for item in registered.items:
+        name = get_target_id(item.key)
         try:
             endpoint = decode_endpoint(item.key, item.value)
         except EntryInvalid as exc:
@@ -156,7 +167,7 @@
 async def _get_members(address):
     rows = []
     for item in await _get_all(address, names.MEMBER_PREFIX):
-        name = item.key[len(names.MEMBER_PREFIX) :]
+        name = get_member_name(item.key)
         row = {"name": name, "revision": item.revision}
         try:
             member = decode_member(item.key, item.value)
--- a/turmericrudder/gateway/registry.py
+++ b/turmericrudder/gateway/registry.py
@@ -11,6 +11,7 @@
     decode_configuration,
     decode_endpoint,
     decode_member,
+    get_evacuated_domain,
     get_member_name,
     get_target_id,
     names,
@@ -222,7 +223,7 @@
         if item.key == names.CONFIGURATION_KEY:
             beliefs.set_configuration(decode_configuration(item.value), item.revision)
         elif item.key.startswith(names.EVACUATION_PREFIX):
-            beliefs.evacuate(item.key[len(names.EVACUATION_PREFIX) :], item.revision)
+            beliefs.evacuate(get_evacuated_domain(item.key), item.revision)
         elif item.key.startswith(names.TARGET_PREFIX):
             try:
                 endpoint = decode_endpoint(item.key, item.value)
@@ -240,7 +241,7 @@
         beliefs = self._beliefs
         key = deletion.key
         if key.startswith(names.EVACUATION_PREFIX):
-            beliefs.restore(key[len(names.EVACUATION_PREFIX) :], deletion.revision)
+            beliefs.restore(get_evacuated_domain(key), deletion.revision)
         elif key.startswith(names.TARGET_PREFIX):
             beliefs.remove_target(get_target_id(key), deletion.revision)
         elif key.startswith(names.MEMBER_PREFIX):
--- a/turmericrudder/platform/__init__.py
+++ b/turmericrudder/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from . import names
 from .configuration import decode_configuration
+from .evacuations import get_evacuated_domain
 from .members import decode_member, encode_member, get_member_key, get_member_name
 from .records import Changes, Deletion, Item, Page
 from .resolution import decode_question, encode_answer
@@ -20,6 +21,7 @@
     "decode_question",
     "encode_answer",
     "encode_member",
+    "get_evacuated_domain",
     "get_member_key",
     "get_member_name",
     "get_target_id",
