Use the one fixture of the tests' event loop

Cause: ten test files had their own copy of the fixture in conftest.py.

Ruled out: test_upstream_link keeps its own, which runs each test on two loops.

--- a/tests/test_application.py
+++ b/tests/test_application.py
@@ -16,11 +16,6 @@
 PEER = (b"turmericrudder-peer-key", b"secret")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def make_instance(closed):
     """Return an instance that is leaving, or one without configuration."""
     return SimpleNamespace(
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -40,11 +40,6 @@
 ]  # fmt: skip
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.mark.parametrize(("old", "new", "section", "key"), BAD_PARAMETERS)
 def test_bad_parameter_is_refused_with_its_place(old, new, section, key):
     source = replace(SOURCE, parameters=SOURCE.parameters.replace(old, new, 1))
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -9,11 +9,6 @@
 CLIENT = "127.11.0.5"
 
 
-@pytest.fixture(scope="module")
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture(scope="module")
 async def cluster(anyio_backend, tmp_path_factory):
     logs = tmp_path_factory.mktemp("logs")
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -20,12 +20,6 @@
 )
 from turmericrudder.metrics import Metrics
 
-
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 ROOT = Path(__file__).resolve().parent.parent
 PAGE = (ROOT / "docs" / "events.md").read_text()
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -16,11 +16,6 @@
 STEP = 0.1  # seconds
 
 
-@pytest.fixture(scope="module")
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture(scope="module")
 async def cluster(anyio_backend, tmp_path_factory):
     async with Cluster("clearsight", tmp_path_factory.mktemp("logs")) as cluster:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -69,11 +69,6 @@
         pass
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class CountedAllowance:
     """Counts requests and repeats, and allows as many as are left."""
 
--- a/tests/test_monitor.py
+++ b/tests/test_monitor.py
@@ -16,11 +16,6 @@
 STORE = Address("127.0.20.4", 21991)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.mark.anyio
 async def test_list_is_read_to_its_end():
     """The target's 710 instances do not fit into one page of the store."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -31,11 +31,6 @@
 STORE = Address("127.0.20.2", 21990)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def test_configuration_in_columns():
     routes = [
         make_route("r1", "/a/", affinity=True, home_regions=["a"]),
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -15,11 +15,6 @@
 WRITE = RequestClass("write", "PUT", "*", False, False, False, 9.0, 9.0, 9.0)
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class Script:
     """Ends each try as the script says; stands for the target runner."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,11 +16,6 @@
 )
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.mark.anyio
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 async def test_promises_hold_under_faults(seed, seconds, tmp_path):
