--- a/soak/world.py
+++ b/soak/world.py
@@ -77,7 +77,7 @@
 class World:
     """Everything of one run.
 
-    :param base: first of the 200 ports that the run uses.
+    :param base: first of the ports that the run uses.
     """
 
     def __init__(self, base, directory, gateways=3, targets=6):
--- a/turmericrudder/gateway/upstream_link.py
+++ b/turmericrudder/gateway/upstream_link.py
@@ -9,6 +9,7 @@
 import struct
 
 from ..errors import LinkBroken, LinkRefused, SteeringError
+from ..keepalive import make_keepalive_options
 from .answer_parser import AnswerParser
 
 __all__ = ["HIGH_WATER", "UpstreamLink", "open_link"]
@@ -23,10 +24,7 @@
 KEEPALIVE_PROBES = 2
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    *make_keepalive_options(KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES),
 )
 
 
--- a/turmericrudder/platform/store.py
+++ b/turmericrudder/platform/store.py
@@ -17,6 +17,7 @@
     VersionConflict,
 )
 from ..http import HTTP_FAILURES, make_timeouts
+from ..keepalive import make_keepalive_options
 from ..units import MS_PER_SECOND
 from . import names
 from .records import Changes, Deletion, Item, Page
@@ -32,10 +33,7 @@
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 3000
 _SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    *make_keepalive_options(KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
