Do not report a request as not run that an earlier attempt may have run

Cause: Caller.operate with the key of an earlier call raised RequestNotRun when no look-up succeeded, and Caller.request and operate did so for a 4xx response after an attempt whose response was lost. Both are false promises.

Change: without a look-up the key of an earlier call gives NoAnswer with that key; a 4xx after an attempt that may have run gives NoAnswer. 428 stays RequestNotRun, since its text is no key that an instance could have run.

--- a/turmericrudder/caller/caller.py
+++ b/turmericrudder/caller/caller.py
@@ -26,6 +26,7 @@
 # A round ends after these, since an entry instance asks its peers before it rejects a
 # request.
 MAX_REJECTIONS_PER_ROUND = 2
+KEY_INVALID_STATUS = 428  # the text is no key, so nothing can have run with it
 MIN_TIMEOUT = 0.001  # seconds; timeout of an attempt just before the deadline
 
 
@@ -88,15 +89,19 @@
         :param timeout: seconds until the complete response must have arrived.
         :param key: operation key of an earlier call, to get that call's outcome.
         :returns: :class:`CallerAnswer`.
-        :raises RequestNotRun: if the request did not run and never will. With
-            ``key``, also if no look-up succeeded: then this call sent nothing, and
-            the earlier one may have run.
+        :raises RequestNotRun: if the request did not run and never will.
         :raises AnswerLost: if the request ran and its response was lost.
         :raises NoAnswer: if the request may have run; call again with the ``key``
             of the error.
         """
         call = _Call(method, service, path, body, list(headers), timeout, 0)
-        return await self._send_with_retries(call, key or await self.make_key(service))
+        if not key:
+            return await self._send_with_retries(call, await self.make_key(service))
+        try:
+            await self.look_up(service)
+        except RequestNotRun as exc:
+            raise NoAnswer(exc.reason, key) from None
+        return await self._send_with_retries(call, key, may_have_run=True)
 
     async def make_key(self, service):
         """Return a new operation key.
@@ -118,9 +123,11 @@
                 return msgspec.json.decode(response.body, type=LookupResponse)
         return None
 
-    async def _send_with_retries(self, call, key):
-        """Send to one entry instance after another until a final outcome or timeout."""
-        may_have_run = False
+    async def _send_with_retries(self, call, key, may_have_run=False):
+        """Send to one entry instance after another until a final outcome or timeout.
+
+        :param may_have_run: whether an earlier call with the key may have run.
+        """
         reason = "timeout"
         while call.get_remaining_time() > 0:
             lookup = await self.look_up(call.service)
@@ -134,6 +141,9 @@
                         return outcome
                     case AnswerLost():
                         raise outcome
+                    case RequestNotRun() if may_have_run and _is_bad_request(outcome):
+                        # Only this attempt did not run.
+                        raise NoAnswer(outcome.reason, key, outcome.status)
                     case RequestNotRun() if key or _is_bad_request(outcome):
                         # The key is void, and only the user of this class may
                         # choose another. A bad request is rejected everywhere.
@@ -235,7 +245,8 @@
 
 
 def _is_bad_request(error):
-    return 400 <= error.status < 500
+    """Return whether a rejection is for the request as such, not for its key."""
+    return 400 <= error.status < 500 and error.status != KEY_INVALID_STATUS
 
 
 def _get_outcome(response, address, attempts, key):
