Answer every accepted connection during a stop

Cause: closing the listening socket resets the connections that wait to be accepted, and a connection that was accepted just before was closed without its first request being read. Clients that go on connecting until the end of the grace time had sent requests on both.

Change: the listener accepts what is pending on a duplicate of its socket before the last descriptor is closed, and connections without a request are kept for a tenth of the grace time, 0.3 s at most.

The test plays 32.

--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,5 +1,7 @@
 """Graceful shutdown of a gateway, and signals during its start."""
 
+import collections
+import itertools
 import os
 import signal
 from functools import partial
@@ -11,6 +13,7 @@
 from standins.gateway import start_gateway
 from turmericrudder.headers import get_header
 
+from .platform_documents import HOST
 from .platform_rig import Rig, wait_for
 
 
@@ -40,6 +43,40 @@
             await rig.send_request()
 
 
+@pytest.mark.anyio
+async def test_shutdown_under_load_answers_every_accepted_connection(tmp_path):
+    """Clients connect and send without a pause until the listener is gone."""
+    head = b"GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %d\r\n\r\n"
+    attempt_ids = itertools.count(1)
+    outcomes = collections.Counter()
+    async with Rig(27200, tmp_path, service_time=0.05) as rig:
+
+        async def send_until_stopped():
+            while rig.process.poll() is None:
+                try:
+                    stream = await anyio.connect_tcp(HOST, rig.get_port(1))
+                except OSError:
+                    await anyio.sleep(0.005)
+                    continue
+                async with stream:
+                    try:
+                        await stream.send(head % next(attempt_ids))
+                        received = await stream.receive()
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        received = b"no response"
+                outcomes[received[:12]] += 1
+
+        with anyio.fail_after(15):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(32):
+                    tasks.start_soon(send_until_stopped)
+                await anyio.sleep(0.5)
+                rig.stop()
+    assert outcomes.keys() <= {b"HTTP/1.1 200", b"HTTP/1.1 503"}
+    assert outcomes[b"HTTP/1.1 200"] > 100
+    assert rig.process.returncode == 0
+
+
 @pytest.mark.anyio
 async def test_sighup_is_ignored_and_sigterm_exits_during_the_start(tmp_path):
     """The settings file is a named pipe, so that the start blocks on reading it."""
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -36,6 +36,10 @@
 # after the first, and after the second the instance stops even with requests in flight.
 ADMISSION_FRACTION = 0.45
 STOP_FRACTION = 0.85
+# Fraction of the grace time for which connections without a request are kept after the
+# last was accepted, and its upper limit in seconds.
+FIRST_REQUEST_FRACTION = 0.1
+MAX_FIRST_REQUEST_TIMEOUT = 0.3
 # Seconds without a request after which a stopping instance may stop early.
 QUIET_PERIOD = 1.0
 
@@ -215,6 +219,9 @@
             ):
                 break
             await anyio.sleep(0.05)
+        for listener in self._listeners:
+            await listener.stop_accepting()
+        await self._wait_for_first_requests()
         for listener in self._listeners:
             listener.close()
         await anyio.sleep(0.02)
@@ -222,6 +229,17 @@
             catalogue.INSTANCE_STOPPED, open=self.client_listener.in_flight_requests
         )
 
+    async def _wait_for_first_requests(self):
+        """Wait until the clients that connected last have their responses."""
+        listener = self.client_listener
+        timeout = min(
+            MAX_FIRST_REQUEST_TIMEOUT,
+            FIRST_REQUEST_FRACTION * self.settings.bounds.grace,
+        )
+        with anyio.move_on_after(timeout):
+            while listener.in_flight_requests or listener.has_unused_connections():
+                await anyio.sleep(0.01)
+
 
 async def run_gateway(path):
     """Run an entry instance with a settings file until it is stopped."""
--- a/turmericrudder/gateway/listener.py
+++ b/turmericrudder/gateway/listener.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import contextlib
+import socket
 
 from uvicorn.server import ServerState
 
@@ -19,14 +21,14 @@
 
 
 class Listener:
-    """Accepts connections from :meth:`open` to :meth:`close`."""
+    """Accepts connections from :meth:`open` to :meth:`stop_accepting`."""
 
-    __slots__ = ("_address", "_config", "_server", "_state")
+    __slots__ = ("_address", "_config", "_server", "_socket", "_state")
 
     def __init__(self, application, address):
         self._address = address
         self._state = ServerState()
-        self._server = None
+        self._server = self._socket = None
         self._config = make_server_config(
             application, http=ClientProtocol, timeout_keep_alive=DEFAULT_IDLE_TIMEOUT
         )
@@ -37,19 +39,48 @@
         """Number of requests being handled."""
         return len(self._state.tasks)
 
+    def has_unused_connections(self):
+        """Return whether there are connections that have had no request yet."""
+        return any(connection.cycle is None for connection in self._state.connections)
+
     async def open(self):
         """Start accepting connections."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ClientProtocol(self._config, self._state, {}, loop),
-            self._address.host,
-            self._address.port,
-            backlog=BACKLOG,
+        self._socket = socket.create_server(
+            (self._address.host, self._address.port), backlog=BACKLOG
+        )
+        self._server = await asyncio.get_running_loop().create_server(
+            self._make_protocol, sock=self._socket, backlog=BACKLOG
         )
 
-    def close(self):
-        """Stop accepting connections and close each after its current response."""
-        if self._server is not None:
+    async def stop_accepting(self):
+        """Accept the connections that clients have established, then no more.
+
+        Closing the socket would reset those that have not been accepted yet, although
+        their requests may have been sent.
+        """
+        if self._server is None:
+            return
+        # The server closes its own descriptor, the connections wait at the duplicate.
+        with contextlib.closing(self._socket.dup()) as pending:
             self._server.close()
+            self._server = None
+            pending.setblocking(False)
+            while True:
+                try:
+                    connection, _ = pending.accept()
+                except ConnectionAbortedError:
+                    continue
+                except OSError:
+                    return  # none is left, or there are no descriptors for more
+                connection.setblocking(False)
+                await asyncio.get_running_loop().connect_accepted_socket(
+                    self._make_protocol, connection
+                )
+
+    def close(self):
+        """Close each connection after its current response."""
         for connection in list(self._state.connections):
             connection.shutdown()
+
+    def _make_protocol(self):
+        return ClientProtocol(self._config, self._state, {}, asyncio.get_running_loop())
