Keep a second copy of a target's response from the next request

Cause: in the entry daemon, httpcore keeps bytes behind the end of a response and takes them for the head of the next one, and a connection that was idle for less than half a second was reused without a look at what had arrived on it. A target that sends its response twice thus answered the next caller.

Change: a connection with excess bytes, or readable while idle, is closed instead of reused; the check is made each time. Each attempt carries an id in Turmericrudder-Attempt; a response that returns another one is a failure, which covers a copy that arrives after the next request was sent. Targets that do not return the id keep that last case.

--- /dev/null
+++ b/tests/test_crossed_responses.py
@@ -0,0 +1,136 @@
+"""A target of the entry daemon that sends its response a second time."""
+
+import contextlib
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from turmericrudder.address import Address
+from turmericrudder.configuration import RequestClass
+from turmericrudder.forwarding.headers import ATTEMPT_HEADER
+from turmericrudder.forwarding.response import Response
+from turmericrudder.forwarding.target_attempt import TargetAttempt
+from turmericrudder.forwarding.target_connection_pool import TargetConnectionPool
+from turmericrudder.routing import AdmissionRequest
+
+HOST = "127.0.20.9"
+READ = RequestClass("read", "GET", "*", False, True, False, 9.0, 9.0, 9.0)
+
+
+def make_response(number, attempt_id=None):
+    body = b"response %d" % number
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
+    if attempt_id is not None:
+        head += b"%s: %s\r\n" % (ATTEMPT_HEADER, attempt_id)
+    return head + b"\r\n" + body
+
+
+@contextlib.asynccontextmanager
+async def serve_target(respond):
+    """Serve connections and yield a target.
+
+    :param respond: async function of (stream, number of the request, its bytes).
+    """
+    numbers = iter(range(1, 100))
+
+    async def handle(stream):
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    request = await stream.receive()
+                    await respond(stream, next(numbers), request)
+
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, handle)
+        with anyio.fail_after(5):
+            yield SimpleNamespace(name="t", address=Address(HOST, port))
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+async def read(pool, target):
+    connection = await pool.acquire(target, must_be_fresh=False)
+    response = await connection.send_request("GET", b"/", [], None, 1.0, 1.0)
+    assert isinstance(response, Response)
+    body = b"".join([chunk async for chunk in response.iter_chunks()])
+    await response.aclose()
+    await pool.release(target, connection)
+    return body
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("delay", [0.0, 0.05], ids=["same packet", "idle connection"])
+async def test_second_copy_reaches_no_other_request(delay):
+    async def respond(stream, number, request):
+        if number == 1 and not delay:
+            await stream.send(2 * make_response(number))
+            return
+        await stream.send(make_response(number))
+        if number == 1:
+            await anyio.sleep(delay)
+            await stream.send(make_response(number))
+
+    pool = TargetConnectionPool()
+    async with serve_target(respond) as target:
+        assert await read(pool, target) == b"response 1"
+        await anyio.sleep(2 * delay)
+        assert await read(pool, target) == b"response 2"
+        await pool.aclose()
+
+
+@pytest.mark.anyio
+async def test_second_copy_with_the_id_of_another_attempt_is_a_failure():
+    """It arrives after the next request was sent, so that only the id tells."""
+    attempt_ids = []
+
+    async def respond(stream, number, request):
+        for line in request.split(b"\r\n"):
+            name, _, value = line.partition(b": ")
+            if name == ATTEMPT_HEADER:
+                attempt_ids.append(value)
+        await stream.send(make_response(number, attempt_ids[0]))
+
+    pool = TargetConnectionPool()
+    released = []
+    dispatcher = SimpleNamespace(send=released.append)
+    async with serve_target(respond) as target:
+        attempts = []
+        for _ in range(2):
+            grant = SimpleNamespace(
+                state=SimpleNamespace(
+                    target=target,
+                    service=SimpleNamespace(
+                        name="s", shed_status=429, drain_status=503, status_path=""
+                    ),
+                )
+            )
+            attempt = TargetAttempt(grant, make_request(), dispatcher, pool)
+            await attempt.run(1000)
+            if attempt.response is not None:
+                assert [chunk async for chunk in attempt.response.iter_chunks()]
+                await attempt.response.aclose()
+                attempt.mark_complete()
+            await attempt.aclose()
+            attempts.append(attempt)
+        assert len(set(attempt_ids)) == 2
+        assert attempts[0].response is not None
+        assert attempts[1].response is None
+        assert attempts[1].failure.reason == "crossed"
+        await pool.aclose()
+
+
+def make_request():
+    expires = anyio.current_time() + 9
+    return SimpleNamespace(
+        method="GET",
+        path=b"/",
+        headers=[],
+        key="",
+        request_class=READ,
+        expires=expires,
+        admission_request=AdmissionRequest("reads", "gulf", False, expires),
+        body=SimpleNamespace(iter_chunks=lambda: None),
+    )
--- a/turmericrudder/forwarding/connection.py
+++ b/turmericrudder/forwarding/connection.py
@@ -45,10 +45,16 @@
     def is_usable(self):
         """Return whether a request can be sent.
 
-        Unlike :meth:`is_open`, this also checks whether the server has closed the
-        connection and how long it was idle.
+        Unlike :meth:`is_open`, this also checks how long the connection was idle and
+        whether the server has closed it or sent more than the response, which could be
+        taken for the next one.
         """
-        return self.is_open() and not self._connection.inner.has_expired()
+        connection = self._connection
+        return (
+            self.is_open()
+            and not connection.has_excess_bytes()
+            and not connection.inner.has_expired()
+        )
 
     async def send_request(
         self, method, path, headers, content, first_byte_timeout, idle_timeout
@@ -124,6 +130,15 @@
             request.extensions["trace"] = self._trace
         return await self.inner.handle_async_request(request)
 
+    def has_excess_bytes(self):
+        """Return whether bytes after the end of the response were received."""
+        # httpcore keeps them for the next response and has no public access to them.
+        http11_connection = self.inner._connection
+        if http11_connection is None:
+            return False
+        data, _ = http11_connection._h11_state.trailing_data
+        return bool(data)
+
     async def aclose(self):
         await self.inner.aclose()
 
--- a/turmericrudder/forwarding/headers.py
+++ b/turmericrudder/forwarding/headers.py
@@ -3,6 +3,7 @@
 from ..headers import get_hop_by_hop_headers
 
 __all__ = [
+    "ATTEMPT_HEADER",
     "DEADLINE_HEADER",
     "HOME_REGION_HEADER",
     "IDEMPOTENCY_KEY_HEADER",
@@ -22,6 +23,9 @@
 INSTANCE_HEADER = _OWN_PREFIX + b"instance"  # name of the responding instance
 KEY_PREFIX_HEADER = _OWN_PREFIX + b"key-prefix"  # for the caller's next operation keys
 DEADLINE_HEADER = _OWN_PREFIX + b"deadline-ms"  # milliseconds left until the deadline
+# Identifies an attempt. A target that returns it protects callers from responses that
+# belong to another request.
+ATTEMPT_HEADER = _OWN_PREFIX + b"attempt"
 # Sent between instances only.
 PEER_KEY_HEADER = _OWN_PREFIX + b"peer-key"  # secret shared by all instances
 ORIGIN_HEADER = _OWN_PREFIX + b"origin"  # name of the forwarding instance
--- a/turmericrudder/forwarding/target_attempt.py
+++ b/turmericrudder/forwarding/target_attempt.py
@@ -1,17 +1,22 @@
 """One attempt to run a request at a target."""
 
+import secrets
+
 import anyio
 
 from ..errors import UpstreamCut
+from ..headers import get_header
 from ..routing import Cancelled, Completed, Failed, Shed
 from .connection import Connection
 from .dispatcher import SlotRelease
+from .headers import ATTEMPT_HEADER
 from .response import NoResponse, NotSent, Response
 from .step import MayHaveRun, NotRun, RanWithoutResponse
 from .upstream_request import get_timeouts, get_upstream_headers
 
 __all__ = ["TargetAttempt"]
 
+ATTEMPT_ID_BYTES = 8
 STATUS_TIMEOUT = 0.5  # seconds to wait for the status of an operation key
 
 
@@ -32,6 +37,7 @@
     """
 
     __slots__ = (
+        "_attempt_id",
         "_connection",
         "_connection_pool",
         "_dispatcher",
@@ -51,6 +57,7 @@
         self.failure = MayHaveRun("cancelled")
         self.latency = None
         self.started_at = anyio.current_time()
+        self._attempt_id = secrets.token_hex(ATTEMPT_ID_BYTES).encode()
         self._request = request
         self._dispatcher = dispatcher
         self._connection_pool = connection_pool
@@ -79,7 +86,7 @@
         send_result = await self._connection.send_request(
             request.method,
             request.path,
-            get_upstream_headers(request),
+            [*get_upstream_headers(request), (ATTEMPT_HEADER, self._attempt_id)],
             request.body.iter_chunks(),
             *get_timeouts(request),
         )
@@ -119,6 +126,9 @@
                 self.failure, self._slot_result = NotRun(reason), Failed()
             case NoResponse(reason):
                 self.failure, self._slot_result = MayHaveRun(reason), Failed()
+            case Response(headers=headers) if self._is_crossed(headers):
+                await send_result.aclose()
+                self.failure, self._slot_result = MayHaveRun("crossed"), Failed()
             case Response(status=status):
                 service = self.grant.state.service
                 if status in (service.shed_status, service.drain_status):
@@ -128,6 +138,11 @@
                 else:
                     await self._prefetch_body(send_result, prefetch_bytes)
 
+    def _is_crossed(self, headers):
+        """Return whether a response says that it belongs to another attempt."""
+        returned_id = get_header(headers, ATTEMPT_HEADER)
+        return returned_id is not None and returned_id != self._attempt_id
+
     async def _prefetch_body(self, response, prefetch_bytes):
         try:
             if prefetch_bytes:
--- a/turmericrudder/forwarding/target_connection_pool.py
+++ b/turmericrudder/forwarding/target_connection_pool.py
@@ -1,27 +1,12 @@
 """A pool of idle connections to the targets that this instance owns."""
 
 from collections import deque
-from dataclasses import dataclass
-
-import anyio
 
 from .connection import Connection
 
 __all__ = ["TargetConnectionPool"]
 
 MAX_IDLE_PER_TARGET = 16  # connections
-# A connection that was idle for less than this is reused without a check that
-# it is still open. The check costs as much as a tenth of a request, and a
-# request that is sent on a reused connection may be retried.
-MAX_UNCHECKED_IDLE = 0.5  # seconds
-
-
-@dataclass(frozen=True, slots=True)
-class _IdleConnection:
-    """An idle connection and the monotonic time of its last use."""
-
-    connection: Connection
-    idle_since: float
 
 
 class TargetConnectionPool:
@@ -46,7 +31,7 @@
         """Close the idle connections to a target."""
         idle_connections = self._idle.pop(target_name, ())
         while idle_connections:
-            await idle_connections.pop().connection.aclose()
+            await idle_connections.pop().aclose()
 
     async def acquire(self, target, must_be_fresh):
         """Return an idle or a new connection to a target.
@@ -55,11 +40,10 @@
         """
         idle_connections = self._idle.setdefault(target.name, deque())
         while idle_connections and not must_be_fresh:
-            idle = idle_connections.pop()
-            is_recent = anyio.current_time() - idle.idle_since < MAX_UNCHECKED_IDLE
-            if is_recent or idle.connection.is_usable():
-                return idle.connection
-            await idle.connection.aclose()
+            connection = idle_connections.pop()
+            if connection.is_usable():
+                return connection
+            await connection.aclose()
         return Connection(target.address)
 
     async def release(self, target, connection):
@@ -69,8 +53,8 @@
         """
         if connection.is_open():
             idle_connections = self._idle.setdefault(target.name, deque())
-            idle_connections.append(_IdleConnection(connection, anyio.current_time()))
+            idle_connections.append(connection)
             if len(idle_connections) > MAX_IDLE_PER_TARGET:
-                await idle_connections.popleft().connection.aclose()
+                await idle_connections.popleft().aclose()
         else:
             await connection.aclose()
