Select among a few candidates, whatever the number of targets

Cause: a selection sorted and compared all targets of the service for every attempt, and the scores that were kept for each affinity key grew with the targets: 330 MB for 4,096 keys and 1,000 targets.

Change: each key keeps the first 16 local and 12 remote targets of its order. A selection compares 8 and 6 usable ones of these and 3 random others; all targets only if none of them can take the request. The order is computed with one multiplication a target. The utilization of the region is computed four times a second instead of for each attempt.

Mean cost of the selected target against the comparison of all, 242 targets in random states: tests/test_target_order.py holds it to 1.05 with an affinity key.

--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -10,15 +10,19 @@
 orders the local targets, and separately the remote ones; a target's position in its
 order is its rank. A hash also assigns each key to the local region or to the remote
 ones, its affinity region.
+
+Only a few candidates are compared: the first of each order and some random others, so
+that the time of a selection does not grow with the number of targets. All targets are
+compared if no candidate can take the request.
 """
 
 import math
 from dataclasses import dataclass
 
-from ..rendezvous import get_score, get_unit_hash
 from .region_shift_limiter import RegionShiftLimiter
 from .remote_share_planner import RegionCapacity, RemoteSharePlanner
 from .selection import NoTarget, NoTargetReason, Selection
+from .service_targets import ServiceTargets
 from .service_time_estimator import UNSEEN_OTHER, UNSEEN_PREFERRED, ServiceTimeEstimator
 
 __all__ = ["Balancer"]
@@ -29,15 +33,17 @@
 # Largest random addition, as a fraction of the cost. Without it, instances with equal
 # snapshots would all select the same target.
 JITTER = 0.02
-# Key of the region hash among an affinity key's scores; no target has this id.
-REGION_SCORE_KEY = ""
-MAX_KEYS = 4096  # affinity keys whose scores are cached
+# Candidates in the order of the affinity key, and random ones besides. Without a key,
+# all are random.
+LOCAL_RANKED = 8
+LOCAL_RANDOM = 2
+REMOTE_RANKED = 6
+REMOTE_RANDOM = 1
+MAX_SERVICE_TARGETS = 256  # pairs of service and home regions with cached orders
 RANK_WEIGHT = 0.3  # fraction of the cost that is added for each rank below the first
 MAX_RANK = 5  # rank from which the cost no longer increases
 LATENCY_SPREAD = 0.25  # fraction of the expected latency by which latencies vary
 COLD_SLOWDOWN = 2.0  # assumed for a cold target: just started, with empty caches
-# In the region's utilization, a target's load counts up to this many times its slots.
-MAX_UTILIZATION = 2.0
 # Fraction of the extra service time for a key that a target has not handled, added
 # to the cost of a target outside the affinity region.
 REGION_MISMATCH_WEIGHT = 0.5
@@ -78,7 +84,7 @@
         "_members",
         "_planners",
         "_random",
-        "_scores",
+        "_service_targets",
         "_settings",
         "_shift_limiter",
     )
@@ -90,8 +96,7 @@
         self._random = random
         self._estimators = {}  # route name -> ServiceTimeEstimator
         self._planners = {}  # service -> RemoteSharePlanner
-        # (route name, affinity key) -> {target id or REGION_SCORE_KEY: score}
-        self._scores = {}
+        self._service_targets = {}  # (service, home regions) -> ServiceTargets
         self._shift_limiter = RegionShiftLimiter(settings.bounds.max_shift)
 
     def get_estimator(self, route):
@@ -110,22 +115,37 @@
 
         :param request: a :class:`SelectionRequest`.
         """
-        targets = self._catalog.get_targets(request.service)
-        if not targets:
+        if not self._catalog.get_targets(request.service):
             return NoTarget(NoTargetReason.NONE_REGISTERED, request.route.objective)
-        allowed = [target for target in targets if self._is_allowed(target, request)]
-        if not allowed:
-            return NoTarget(NoTargetReason.NONE_ALLOWED, request.route.objective)
-        # If all targets are ejected, the ejections are ignored.
-        reachable = [
-            target for target in allowed if now >= target.ejected_until
-        ] or allowed
-        candidates = [
-            target for target in reachable if self._can_take_request(target, now)
-        ]
-        if not candidates:
-            return NoTarget(NoTargetReason.ALL_COLD, 1.0)
-        best = self._get_cheapest(request, candidates, now)
+        service_targets = self._get_service_targets(request)
+        order = (
+            service_targets.get_order(_get_order_key(request))
+            if request.affinity_key is not None
+            else None
+        )
+        local = self._get_candidates(
+            request,
+            service_targets.local,
+            order.local if order is not None else None,
+            LOCAL_RANKED,
+            LOCAL_RANDOM,
+            now,
+        )
+        remote = self._get_candidates(
+            request,
+            service_targets.remote,
+            order.remote if order is not None else None,
+            REMOTE_RANKED,
+            REMOTE_RANDOM,
+            now,
+        )
+        if not local and not remote:
+            reason = self._add_all_candidates(
+                request, service_targets, local, remote, now
+            )
+            if reason is not None:
+                return reason
+        best = self._get_cheapest(request, service_targets, order, local, remote, now)
         if now + best.expected_latency > request.expires:
             return NoTarget(NoTargetReason.TOO_LATE, best.expected_latency / 2)
         return best
@@ -147,10 +167,89 @@
             )
         self._shift_limiter.record_request(selection.is_remote, now)
 
-    def _is_allowed(self, target, request):
+    def _get_service_targets(self, request):
+        source = self._catalog.get_targets(request.service)
         home_regions = request.route.home_regions
-        if home_regions and self._get_region(target) not in home_regions:
-            return False
+        key = (request.service, home_regions)
+        service_targets = self._service_targets.get(key)
+        if service_targets is None or service_targets.source is not source:
+            if len(self._service_targets) >= MAX_SERVICE_TARGETS:
+                self._service_targets.clear()
+            service_targets = self._service_targets[key] = ServiceTargets(
+                source,
+                self._is_remote,
+                lambda target: (
+                    not home_regions or self._get_region(target) in home_regions
+                ),
+            )
+        return service_targets
+
+    def _get_candidates(self, request, group, order, ranked, others, now):
+        """Return the candidates of a group of targets, in the order of the key.
+
+        :param group: a :class:`TargetGroup`.
+        :param order: its first targets in the key's order, ``None`` without a key.
+        :param ranked: number of candidates from the order.
+        :param others: number of candidates that are chosen at random.
+        """
+        targets = group.targets
+        if len(targets) <= ranked + others:
+            order, others = targets if order is None else order, 0
+            ranked = len(targets)
+        elif order is None:
+            order, ranked, others = (), 0, ranked + others
+        candidates = []
+        for target in order:
+            if self._is_candidate(target, request, now):
+                candidates.append(target)
+                if len(candidates) == ranked:
+                    break
+        for _ in range(others):
+            target = targets[int(self._random.random() * len(targets))]
+            if target not in candidates and self._is_candidate(target, request, now):
+                candidates.append(target)
+        return candidates
+
+    def _add_all_candidates(self, request, service_targets, local, remote, now):
+        """Add all targets that can take a request to the empty lists of candidates.
+
+        :returns: ``None``, or :class:`NoTarget` if there are none.
+        """
+        if request.affinity_key is not None:
+            order = service_targets.get_full_order(_get_order_key(request))
+            groups = ((order.local, local), (order.remote, remote))
+        else:
+            groups = (
+                (service_targets.local.targets, local),
+                (service_targets.remote.targets, remote),
+            )
+        allowed = [
+            (target, candidates)
+            for targets, candidates in groups
+            for target in targets
+            if self._is_allowed(target, request)
+        ]
+        if not allowed:
+            return NoTarget(NoTargetReason.NONE_ALLOWED, request.route.objective)
+        # If all targets are ejected, the ejections are ignored.
+        reachable = [
+            pair for pair in allowed if now >= pair[0].ejected_until
+        ] or allowed
+        for target, candidates in reachable:
+            if self._can_take_request(target, now):
+                candidates.append(target)
+        if not local and not remote:
+            return NoTarget(NoTargetReason.ALL_COLD, 1.0)
+        return None
+
+    def _is_candidate(self, target, request, now):
+        return (
+            now >= target.ejected_until
+            and self._is_allowed(target, request)
+            and self._can_take_request(target, now)
+        )
+
+    def _is_allowed(self, target, request):
         target_id = target.endpoint.id
         is_allowed_untried = (
             request.may_use_untried_target and target_id not in request.attempted_ids
@@ -173,22 +272,21 @@
             profile.cold_rate, bounds.cold_overage, bounds.cold_slack, now
         )
 
-    def _get_cheapest(self, request, targets, now):
+    def _get_cheapest(self, request, service_targets, order, local, remote, now):
         """Return the :class:`Selection` with the least cost.
 
         The region shift limiter may rule out the cheaper of the best local and the
         best remote target.
+
+        :param local: candidates in the local region, in the order of the key.
+        :param remote: candidates in other regions, in the order of the key.
         """
-        local, remote = [], []
-        for target in targets:
-            group = remote if self._is_remote(target) else local
-            group.append((target, target.get_load(now)))
-        context = self._make_cost_context(request, local, remote, now)
+        context = self._make_cost_context(request, service_targets, order, now)
         best_by_group = {False: None, True: None}  # keyed by is_remote
         for is_remote, group in ((False, local), (True, remote)):
-            for rank, (target, load) in enumerate(self._rank(request, group)):
+            for rank, target in enumerate(group):
                 selection = self._make_selection(
-                    request, target, load, rank, is_remote, context, now
+                    request, target, rank, is_remote, context, now
                 )
                 best = best_by_group[is_remote]
                 if best is None or selection.cost < best.cost:
@@ -200,42 +298,23 @@
             return best_remote if self._shift_limiter.may_go_remote(now) else best_local
         return best_local if self._shift_limiter.may_stay_local(now) else best_remote
 
-    def _make_cost_context(self, request, local, remote, now):
-        slots = local_load = 0
-        for target, load in local:
-            slots += target.endpoint.slots
-            local_load += min(load, MAX_UTILIZATION * target.endpoint.slots)
-        all_slots = slots + sum(target.endpoint.slots for target, _ in remote)
-        capacity = RegionCapacity(slots, all_slots, *self._members.instance_counts)
+    def _make_cost_context(self, request, service_targets, order, now):
+        utilization = service_targets.get_utilization(self._catalog.is_usable, now)
+        capacity = RegionCapacity(
+            utilization.local_slots,
+            utilization.all_slots,
+            *self._members.instance_counts,
+        )
         estimator = self.get_estimator(request.route)
         return _CostContext(
             estimator=estimator,
-            region_utilization=local_load / slots if slots else 1.0,
-            is_remote_preferred=self._prefers_remote(request, capacity, now),
+            region_utilization=utilization.local,
+            is_remote_preferred=self._prefers_remote(request, order, capacity, now),
             region_mismatch_cost=REGION_MISMATCH_WEIGHT
             * (estimator.get(UNSEEN_OTHER) - estimator.get_seen_key_seconds()),
         )
 
-    def _rank(self, request, group):
-        """Return (target, load) pairs in the rendezvous order of the affinity key.
-
-        The order is the same on all instances, so they send requests with the same
-        key to the same targets, whose caches hold its data.
-        """
-        if request.affinity_key is None:
-            return group
-        scores = self._get_scores(request)
-        key = f"{request.route.name}/{request.affinity_key}"
-        for target, _ in group:
-            target_id = target.endpoint.id
-            if target_id not in scores:
-                scores[target_id] = get_score(key, target_id, target.endpoint.slots)
-        return sorted(
-            group,
-            key=lambda item: (-scores[item[0].endpoint.id], item[0].endpoint.id),
-        )
-
-    def _make_selection(self, request, target, load, rank, is_remote, context, now):
+    def _make_selection(self, request, target, rank, is_remote, context, now):
         """Return a target with its cost for one request."""
         key = self._get_service_time_key(request, target, rank)
         slots = target.endpoint.slots
@@ -249,7 +328,7 @@
                 PRIOR_REMOTE_ROUND_TRIP if is_remote else PRIOR_LOCAL_ROUND_TRIP
             )
         wait = 0.0
-        excess = load + 1 - slots
+        excess = target.get_load(now) + 1 - slots
         if excess > 0:
             wait = excess * (target.mean_service_time or service_time) / slots
         latency = round_trip + wait + service_time
@@ -291,21 +370,13 @@
             return age
         return UNSEEN_PREFERRED if rank == 0 else UNSEEN_OTHER
 
-    def _get_scores(self, request):
-        """Return the score cache of an affinity key; callers add missing scores."""
-        key = (request.route.name, request.affinity_key)
-        scores = self._scores.get(key)
-        if scores is None:
-            scores = self._scores[key] = {}
-            if len(self._scores) > MAX_KEYS:
-                del self._scores[next(iter(self._scores))]
-        return scores
-
-    def _prefers_remote(self, request, capacity, now):
+    def _prefers_remote(self, request, order, capacity, now):
         """Return whether a request should run in a remote region.
 
         With an affinity key, this depends on the key's hash; without one, it is
         random.
+
+        :param order: the key's :class:`KeyOrder`, ``None`` without a key.
         """
         planner = self._planners.get(request.service)
         if planner is None:
@@ -313,17 +384,15 @@
         share = planner.get_remote_share(capacity, now)
         if share <= 0.0:
             return False
-        if request.affinity_key is None:
-            return self._random.random() < share
-        scores = self._get_scores(request)
-        if REGION_SCORE_KEY not in scores:
-            scores[REGION_SCORE_KEY] = get_unit_hash(
-                f"{request.route.name}/{request.affinity_key}", REGION_SCORE_KEY
-            )
-        return scores[REGION_SCORE_KEY] < share
+        value = self._random.random() if order is None else order.region_hash
+        return value < share
 
     def _get_region(self, target):
         return self._settings.regions.get(target.endpoint.failure_domain)
 
     def _is_remote(self, target):
         return self._get_region(target) != self._settings.region
+
+
+def _get_order_key(request):
+    return f"{request.route.name}/{request.affinity_key}"
--- a/turmericrudder/steering/endpoint.py
+++ b/turmericrudder/steering/endpoint.py
@@ -52,3 +52,11 @@
         return (
             self.started_at_ms == other.started_at_ms and self.address == other.address
         )
+
+    def is_ranked_like(self, other):
+        """Return whether both have the same place in the orders of a service."""
+        return (self.service, self.slots, self.failure_domain) == (
+            other.service,
+            other.slots,
+            other.failure_domain,
+        )
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -54,7 +54,10 @@
         return self._targets.get(target_id)
 
     def get_targets(self, service):
-        """Return the registered targets of a service as :class:`TrackedTarget`."""
+        """Return the registered targets of a service as :class:`TrackedTarget`.
+
+        It is a new tuple after each change that may change the order of targets.
+        """
         return self._by_service.get(service, ())
 
     def is_usable(self, target):
@@ -164,12 +167,12 @@
             self._reindex(previous.endpoint.service)
 
     def _update(self, target, endpoint, now):
-        service = target.endpoint.service
-        target.endpoint = endpoint
+        previous, target.endpoint = target.endpoint, endpoint
         target.is_removed = False
         self._mark_cold(target, now, endpoint.cold_remaining)
-        if service != endpoint.service:
-            self._reindex(service)
+        if previous.service != endpoint.service:
+            self._reindex(previous.service)
+        if not previous.is_ranked_like(endpoint):
             self._reindex(endpoint.service)
 
     def _mark_cold(self, target, now, seconds):
--- a/turmericrudder/steering/selection.py
+++ b/turmericrudder/steering/selection.py
@@ -50,7 +50,8 @@
     may_use_untried_target: bool = True
 
 
-@dataclass(frozen=True, slots=True)
+# Not frozen: one is made for each candidate, and frozen ones take thrice the time.
+@dataclass(slots=True)
 class Selection:
     """The selected target, with the estimates that led to it.
 
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -97,14 +97,19 @@
 
     def get_load(self, now):
         """Return the in-flight requests of all instances, those of others estimated."""
-        age = now - self._load_reported_at
-        return self.in_flight + self._other_load * 0.5 ** (age / LOAD_HALF_LIFE)
+        load = len(self._start_times)
+        if self._other_load > 0.0:
+            age = now - self._load_reported_at
+            load += self._other_load * 0.5 ** (age / LOAD_HALF_LIFE)
+        return load
 
     def get_slowdown(self, now):
         """Return the factor by which the target is slower than usual now.
 
         It is the one of the last load report and decays to 1.
         """
+        if self._slowdown == 1.0:
+            return 1.0
         age = now - self._slowdown_at
         return 1.0 + (self._slowdown - 1.0) * 0.5 ** (age / SLOWDOWN_HALF_LIFE)
 
@@ -118,6 +123,8 @@
 
     def get_failure_rate(self, now):
         """Return the recent share of failed and not executed requests, 0 to 1."""
+        if self._failure_rate == 0.0:
+            return 0.0
         age = now - self._failure_rate_at
         return self._failure_rate * 0.5 ** (age / FAILURE_HALF_LIFE)
 
