Use the bounded listener for all servers, and check pooled responses

Cause: the entry daemon's servers reset connections that waited to be accepted at a stop, and none of its listeners, nor the gateway's four besides that of clients, bounded a request's head. httpcore's pools, which the calls to the store and to instances use, take a second copy of a response for the response to the next call.

Change: Listener and the HTTP protocol with limits serve both entry instances and the stand-ins; limits are 64 KiB of head and 10 s for it where the operator sets none. A pooled connection with bytes behind a complete response is closed.

Endless heads on the four other listeners of a gateway: not cut off in 3 s by a process with the code before, cut off now. Second copy on a pooled connection: test failed before.

--- a/tests/test_crossed_responses.py
+++ b/tests/test_crossed_responses.py
@@ -1,9 +1,10 @@
-"""A target of the entry daemon that sends its response a second time."""
+"""A server that sends its response a second time."""
 
 import contextlib
 from types import SimpleNamespace
 
 import anyio
+import httpcore
 import pytest
 
 from turmericrudder.address import Address
@@ -12,6 +13,7 @@
 from turmericrudder.forwarding.response import Response
 from turmericrudder.forwarding.target_attempt import TargetAttempt
 from turmericrudder.forwarding.target_connection_pool import TargetConnectionPool
+from turmericrudder.http_client import send_bounded
 from turmericrudder.routing import AdmissionRequest
 
 HOST = "127.0.20.9"
@@ -122,6 +124,29 @@
         await pool.aclose()
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("delay", [0.0, 0.05], ids=["same packet", "idle connection"])
+async def test_second_copy_reaches_no_other_call_of_a_client(delay):
+    """The calls to the store and to instances share pools of connections."""
+
+    async def respond(stream, number, request):
+        if number == 1 and not delay:
+            await stream.send(2 * make_response(number))
+            return
+        await stream.send(make_response(number))
+        if number == 1:
+            await anyio.sleep(delay)
+            await stream.send(make_response(number))
+
+    async with serve_target(respond) as target, httpcore.AsyncConnectionPool() as pool:
+        for number in (1, 2):
+            response = await send_bounded(
+                pool, "GET", f"http://{target.address}/", max_bytes=100, timeout=1.0
+            )
+            assert response.content == b"response %d" % number
+            await anyio.sleep(2 * delay)
+
+
 def make_request():
     expires = anyio.current_time() + 9
     return SimpleNamespace(
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -1,11 +1,15 @@
 """End-to-end tests on real processes: look-ups, requests, operations, shutdown."""
 
+import contextlib
+
 import anyio
 import pytest
 
 from bench.cluster import Cluster, post_json
 from turmericrudder.caller import Caller, NoAnswer, RequestNotRun
 
+from .stop_load import send_until_stopped
+
 CLIENT = "127.11.0.5"
 
 
@@ -112,6 +116,38 @@
     assert "Traceback" not in (cluster.log_directory / "gulf-a-2.log").read_text()
 
 
+@pytest.mark.anyio
+async def test_shutdown_under_load_answers_every_accepted_connection(cluster):
+    address = cluster.entries["gulf-b-1"].listen_callers
+    head = b"GET /lensreader/lenses/%d HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    async def stop():
+        code, _ = await cluster.stop("gulf-b-1")
+        assert code == 0
+
+    with anyio.fail_after(20):
+        outcomes = await send_until_stopped(address.host, address.port, head, stop)
+    assert b"no response" not in outcomes
+    assert outcomes[b"HTTP/1.1 503"] > 0
+
+
+@pytest.mark.anyio
+async def test_endless_head_is_cut_off(cluster):
+    """Of a request to the callers' and to the instances' listener."""
+    entry = cluster.entries["gulf-a-1"]
+    for address in (entry.listen_callers, entry.listen_peers):
+        sent = 0
+        with anyio.fail_after(3), contextlib.suppress(anyio.BrokenResourceError):
+            stream = await anyio.connect_tcp(address.host, address.port)
+            async with stream:
+                await stream.send(b"GET /lookup HTTP/1.1\r\n")
+                while True:
+                    await stream.send(b"X-A: 1\r\n" * 100)
+                    sent += 800
+                    assert sent < 64 * 1024 * 1024
+                    await anyio.sleep(0)
+
+
 async def _operate(caller, key):
     """Send an operation; return its verdict, or "answered" if it got a response."""
     try:
--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -314,6 +314,21 @@
     assert received.count(b"HTTP/1.1 ") <= 1
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("offset", [2, 3, 4, 5])
+async def test_endless_heads_to_the_other_listeners_are_cut_off(rig, offset):
+    """Readiness, directory, instances and metrics."""
+    sent = 0
+    with anyio.fail_after(3), contextlib.suppress(anyio.BrokenResourceError):
+        async with await anyio.connect_tcp(HOST, rig.get_port(offset)) as stream:
+            await stream.send(b"GET / HTTP/1.1\r\n")
+            while True:
+                await stream.send(b"X-A: 1\r\n" * 100)
+                sent += 800
+                assert sent < 64 * 1024 * 1024
+                await anyio.sleep(0)
+
+
 @pytest.mark.anyio
 async def test_trailers_of_a_request_are_no_headers(rig):
     data = (
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -1,7 +1,5 @@
 """Graceful shutdown of a gateway, and signals during its start."""
 
-import collections
-import itertools
 import os
 import signal
 from functools import partial
@@ -15,6 +13,7 @@
 
 from .platform_documents import HOST
 from .platform_rig import Rig, wait_for
+from .stop_load import send_until_stopped
 
 
 @pytest.mark.anyio
@@ -45,33 +44,16 @@
 
 @pytest.mark.anyio
 async def test_shutdown_under_load_answers_every_accepted_connection(tmp_path):
-    """Clients connect and send without a pause until the listener is gone."""
     head = b"GET /read/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %d\r\n\r\n"
-    attempt_ids = itertools.count(1)
-    outcomes = collections.Counter()
     async with Rig(27200, tmp_path, service_time=0.05) as rig:
 
-        async def send_until_stopped():
+        async def stop():
+            rig.stop()
             while rig.process.poll() is None:
-                try:
-                    stream = await anyio.connect_tcp(HOST, rig.get_port(1))
-                except OSError:
-                    await anyio.sleep(0.005)
-                    continue
-                async with stream:
-                    try:
-                        await stream.send(head % next(attempt_ids))
-                        received = await stream.receive()
-                    except (anyio.EndOfStream, anyio.BrokenResourceError):
-                        received = b"no response"
-                outcomes[received[:12]] += 1
+                await anyio.sleep(0.02)
 
         with anyio.fail_after(15):
-            async with anyio.create_task_group() as tasks:
-                for _ in range(32):
-                    tasks.start_soon(send_until_stopped)
-                await anyio.sleep(0.5)
-                rig.stop()
+            outcomes = await send_until_stopped(HOST, rig.get_port(1), head, stop)
     assert outcomes.keys() <= {b"HTTP/1.1 200", b"HTTP/1.1 503"}
     assert outcomes[b"HTTP/1.1 200"] > 100
     assert rig.process.returncode == 0
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
     StoreEntryInvalid,
     StoreUnavailable,
 )
-from turmericrudder.gateway.listener import Listener
+from turmericrudder.listener import Listener
 from turmericrudder.platform import (
     Deletion,
     MetadataStoreClient,
@@ -131,9 +131,7 @@
 
 
 class _UnlimitedApplication:
-    """ASGI application with the attribute ``limits`` that a listener reads."""
-
-    limits = None
+    """ASGI application without limits of its own."""
 
     def __init__(self, application):
         self._application = application
--- a/tests/test_target_monitor.py
+++ b/tests/test_target_monitor.py
@@ -9,7 +9,7 @@
 from turmericrudder.address import Address
 from turmericrudder.daemon.target_monitor import Monitor
 from turmericrudder.discovery import InstanceRecord
-from turmericrudder.gateway.listener import Listener
+from turmericrudder.listener import Listener
 from turmericrudder.platform import MetadataStoreClient, protocol
 from turmericrudder.settings import TimingSettings
 
--- a/turmericrudder/daemon/graceful_shutdown.py
+++ b/turmericrudder/daemon/graceful_shutdown.py
@@ -85,8 +85,9 @@
         with anyio.move_on_after(self._timing.drain_limit):
             while self._in_flight or self._has_pending_outcomes():
                 await anyio.sleep(POLL_INTERVAL)
-        for server in self._servers:
-            server.stop()
+        async with anyio.create_task_group() as tasks:
+            for server in self._servers:
+                tasks.start_soon(server.stop)
         self._membership.set_status(Status.LEFT)
         await anyio.sleep(FINAL_SEND_DELAY)
         scope.cancel()
--- a/turmericrudder/daemon/server.py
+++ b/turmericrudder/daemon/server.py
@@ -1,62 +1,39 @@
-"""Serve an ASGI application with uvicorn."""
-
-import contextlib
+"""Serve an ASGI application until stopped."""
 
 import anyio
-import uvicorn
 
-from ..server_config import make_server_config
+from ..listener import Listener
 
 __all__ = ["Server"]
 
-KEEPALIVE_SECONDS = 60  # idle time after which a connection is closed
-BACKLOG = 1024  # connections waiting to be accepted
-
-
-class _UvicornServer(uvicorn.Server):
-    """A uvicorn server that installs no signal handlers."""
-
-    @contextlib.contextmanager
-    def capture_signals(self):
-        yield
+# Seconds for which connections without a request are kept after the last was accepted.
+FIRST_REQUEST_TIMEOUT = 0.3
 
 
 class Server:
     """A server for one ASGI application on one address."""
 
-    __slots__ = ("_server",)
+    __slots__ = ("_listener", "_stopped")
 
     def __init__(self, application, address):
-        config = make_server_config(
-            application,
-            host=address.host,
-            port=address.port,
-            http="httptools",
-            timeout_keep_alive=KEEPALIVE_SECONDS,
-            backlog=BACKLOG,
-        )
-        self._server = _UvicornServer(config)
+        self._listener = Listener(application, address)
+        self._stopped = anyio.Event()
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Serve until :meth:`stop` is called.
 
         :param task_status: reported as started once the server listens.
-        :raises ExceptionGroup: with an :class:`OSError` if it cannot listen.
+        :raises OSError: if it cannot listen.
         """
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._serve, tasks.cancel_scope)
-            while not self._server.started:
-                await anyio.sleep(0.005)
-            task_status.started()
-
-    def stop(self):
-        """Stop listening and let in-flight requests complete."""
-        self._server.should_exit = True
-
-    async def _serve(self, scope):
         try:
-            await self._server.serve()
-        except SystemExit:
-            # uvicorn raises this after it has logged why it cannot bind.
-            raise OSError("cannot listen on the server's address") from None
-        scope.cancel()
+            await self._listener.open()
+            task_status.started()
+            await self._stopped.wait()
+        finally:
+            self._listener.close()
+
+    async def stop(self):
+        """Stop listening, and let the requests complete that clients have sent."""
+        await self._listener.stop_accepting()
+        await self._listener.wait_for_first_requests(FIRST_REQUEST_TIMEOUT)
+        self._stopped.set()
--- a/turmericrudder/gateway/auxiliary_applications.py
+++ b/turmericrudder/gateway/auxiliary_applications.py
@@ -22,8 +22,6 @@
 
     __slots__ = ("_instance",)
 
-    limits = None  # no limits; read by ClientProtocol
-
     def __init__(self, instance):
         self._instance = instance
 
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -8,6 +8,7 @@
 
 from ..errors import SettingsInvalid
 from ..events import EventLog, catalogue
+from ..listener import Listener
 from ..metrics import Metrics
 from ..platform import MetadataStoreClient
 from ..settings import read_gateway_settings
@@ -20,7 +21,6 @@
 from .cached_state import CachedState
 from .client_application import ClientApplication
 from .forwarder import Forwarder
-from .listener import Listener
 from .members import Members
 from .peer_sync import PeerApplication, PeerClient
 from .registration import Registration
@@ -221,7 +221,9 @@
             await anyio.sleep(0.05)
         for listener in self._listeners:
             await listener.stop_accepting()
-        await self._wait_for_first_requests()
+        await self.client_listener.wait_for_first_requests(
+            min(MAX_FIRST_REQUEST_TIMEOUT, FIRST_REQUEST_FRACTION * grace)
+        )
         for listener in self._listeners:
             listener.close()
         await anyio.sleep(0.02)
@@ -229,17 +231,6 @@
             catalogue.INSTANCE_STOPPED, open=self.client_listener.in_flight_requests
         )
 
-    async def _wait_for_first_requests(self):
-        """Wait until the clients that connected last have their responses."""
-        listener = self.client_listener
-        timeout = min(
-            MAX_FIRST_REQUEST_TIMEOUT,
-            FIRST_REQUEST_FRACTION * self.settings.bounds.grace,
-        )
-        with anyio.move_on_after(timeout):
-            while listener.in_flight_requests or listener.has_unused_connections():
-                await anyio.sleep(0.01)
-
 
 async def run_gateway(path):
     """Run an entry instance with a settings file until it is stopped."""
--- a/turmericrudder/http_client.py
+++ b/turmericrudder/http_client.py
@@ -75,6 +75,19 @@
                         raise ResponseTooLarge(
                             f"response longer than {max_bytes} bytes"
                         )
+                _close_if_excess(response)
                 return BoundedResponse(response.status, b"".join(chunks))
     except TimeoutError:
         raise httpcore.ReadTimeout(f"no complete response in {timeout:g} s") from None
+
+
+def _close_if_excess(response):
+    """Close the connection of a complete response if more bytes were received on it.
+
+    httpcore would take them for the response to the next request. It has no public
+    access to them.
+    """
+    http11_state = response.stream._stream._connection._h11_state
+    data, _ = http11_state.trailing_data
+    if data:
+        http11_state.send_failed()  # httpcore then closes the connection
--- a/turmericrudder/gateway/client_protocol.py
+++ b/turmericrudder/http_protocol.py
@@ -1,8 +1,18 @@
-"""uvicorn's HTTP protocol with the operator's limits on request heads."""
+"""uvicorn's HTTP protocol with limits on request heads and framing."""
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-__all__ = ["ClientProtocol"]
+from .steering import ClientLimits
+
+__all__ = ["BoundedHttpProtocol"]
+
+# In force until the operator's limits are known, and for applications without any.
+DEFAULT_LIMITS = ClientLimits(
+    head_bytes=64 * 1024,
+    body_bytes=2**63,
+    header_timeout=10.0,
+    idle_timeout=60.0,
+)
 
 _HEAD_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
@@ -20,16 +30,17 @@
 FRAMING_BYTES_PER_BODY_BYTE = 8
 
 
-class ClientProtocol(HttpToolsProtocol):
+class BoundedHttpProtocol(HttpToolsProtocol):
     """Limits the bytes of a request besides its body, the time of its head, and idling.
 
     A request that follows others on the connection may be invalid while their
     responses are due. Then nothing is sent for it: the connection is closed after those
     responses.
 
-    The application must have the attribute ``limits``, a
-    :class:`~turmericrudder.steering.ClientLimits`, or ``None`` for no limits. The scope
-    gets ``raw_target``, the request target, and ``head_bytes``, the size of the head.
+    The application may have the attribute ``limits``, a
+    :class:`~turmericrudder.steering.ClientLimits` or ``None``; without it, there are
+    default limits. The scope gets ``raw_target``, the request target, and
+    ``head_bytes``, the size of the head.
     """
 
     _head_timer = None
@@ -50,12 +61,12 @@
     def data_received(self, data):
         if self._is_discarding:
             return
-        limits = self.app.limits
-        if limits is not None and not self._is_in_head and self._is_between_requests():
+        limits = self._get_limits()
+        if not self._is_in_head and self._is_between_requests():
             self._start_head_timer(limits)
         self._framing_bytes += len(data)
         super().data_received(data)
-        if limits is None or self.parser is None or self._is_discarding:
+        if self.parser is None or self._is_discarding:
             return
         if not self._is_head_complete:
             if self._framing_bytes > limits.head_bytes:
@@ -101,22 +112,21 @@
         self._framing_bytes = self._body_bytes = 0
 
     def on_response_complete(self):
-        limits = self.app.limits
-        if limits is not None:
-            self.timeout_keep_alive = limits.idle_timeout
+        self.timeout_keep_alive = self._get_limits().idle_timeout
         super().on_response_complete()
 
+    def _get_limits(self):
+        return getattr(self.app, "limits", None) or DEFAULT_LIMITS
+
     def _is_between_requests(self):
         return self.cycle is None or (
             self.cycle.response_complete and not self.cycle.more_body
         )
 
     def _start_idle_timer(self):
-        limits = self.app.limits
-        if limits is not None:
-            self.timeout_keep_alive_task = self.loop.call_later(
-                limits.idle_timeout, self.timeout_keep_alive_handler
-            )
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self._get_limits().idle_timeout, self.timeout_keep_alive_handler
+        )
 
     def _start_head_timer(self, limits):
         self._is_in_head = True
--- a/turmericrudder/gateway/listener.py
+++ b/turmericrudder/listener.py
@@ -1,23 +1,24 @@
 """A listener that serves an ASGI application on one address.
 
 It uses uvicorn's protocol, but not its server, which wakes up ten times a second for
-each address; an instance listens on several.
+each address; an instance listens on several. Besides, uvicorn's server resets the
+connections that wait to be accepted when it stops.
 """
 
 import asyncio
 import contextlib
 import socket
 
+import anyio
 from uvicorn.server import ServerState
 
-from ..server_config import make_server_config
-from .client_protocol import ClientProtocol
+from .http_protocol import BoundedHttpProtocol
+from .server_config import make_server_config
 
 __all__ = ["Listener"]
 
 BACKLOG = 2048  # connections waiting to be accepted
-# Idle timeout of connections until the operator's limits are known.
-DEFAULT_IDLE_TIMEOUT = 60  # seconds
+FIRST_REQUEST_POLL_INTERVAL = 0.01  # seconds
 
 
 class Listener:
@@ -29,9 +30,7 @@
         self._address = address
         self._state = ServerState()
         self._server = self._socket = None
-        self._config = make_server_config(
-            application, http=ClientProtocol, timeout_keep_alive=DEFAULT_IDLE_TIMEOUT
-        )
+        self._config = make_server_config(application, http=BoundedHttpProtocol)
         self._config.load()
 
     @property
@@ -39,12 +38,11 @@
         """Number of requests being handled."""
         return len(self._state.tasks)
 
-    def has_unused_connections(self):
-        """Return whether there are connections that have had no request yet."""
-        return any(connection.cycle is None for connection in self._state.connections)
-
     async def open(self):
-        """Start accepting connections."""
+        """Start accepting connections.
+
+        :raises OSError: if the address cannot be listened on.
+        """
         self._socket = socket.create_server(
             (self._address.host, self._address.port), backlog=BACKLOG
         )
@@ -77,10 +75,26 @@
                     self._make_protocol, connection
                 )
 
+    async def wait_for_first_requests(self, timeout):
+        """Wait until all connections have had a request and none is in flight.
+
+        :param timeout: seconds to wait at most.
+        """
+        with anyio.move_on_after(timeout):
+            while self._state.tasks or any(
+                connection.cycle is None for connection in self._state.connections
+            ):
+                await anyio.sleep(FIRST_REQUEST_POLL_INTERVAL)
+
     def close(self):
-        """Close each connection after its current response."""
+        """Close the listening socket, and each connection after its response."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
         for connection in list(self._state.connections):
             connection.shutdown()
 
     def _make_protocol(self):
-        return ClientProtocol(self._config, self._state, {}, asyncio.get_running_loop())
+        return BoundedHttpProtocol(
+            self._config, self._state, {}, asyncio.get_running_loop()
+        )
