Exchange targets' loads in a region and lower the weights of crowded targets

Rendezvous hashing gives some targets several times the keys of others, and one of 26 instances hears too rarely from one target to see its queue: it was believed to hold 3.5 requests.

Change: each instance sends the load reports it received to the reader of its region four times a second, and gets those of the others, 64 at most. Once a second the reader lowers the weight of targets whose average load is above their slots and 1.5 times the mean of their group, so that whole keys move, on all instances alike. Without the exchange an instance decides as before.

With it: an estimate for targets that are not preferred is never below that for the preferred ones, whose first requests find empty caches, and its prior is higher.

--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -8,6 +8,7 @@
 from turmericrudder.steering.recent_keys import RecentKeys
 from turmericrudder.steering.service_time_estimator import (
     UNSEEN_OTHER,
+    UNSEEN_PREFERRED,
     ServiceTimeEstimator,
 )
 
@@ -48,3 +49,14 @@
         recent_keys.record(number % 3)
     assert recent_keys.get_age("a") is None
     assert recent_keys.get_age(2) == 0
+
+
+def test_untried_target_is_not_expected_to_be_faster_than_the_preferred_one():
+    """At a start all caches are empty, and preferred targets are the first tried."""
+    estimator = ServiceTimeEstimator(1.2)
+    for _ in range(10):
+        estimator.record(UNSEEN_PREFERRED, 3.0)
+    assert estimator.get(UNSEEN_OTHER) >= estimator.get(UNSEEN_PREFERRED)
+    for _ in range(50):
+        estimator.record(UNSEEN_OTHER, 4.0)
+    assert estimator.get(UNSEEN_OTHER) > estimator.get(UNSEEN_PREFERRED)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,7 +9,7 @@
 from turmericrudder.gateway.client_request import ClientRequest
 from turmericrudder.gateway.forwarder import Forwarder
 from turmericrudder.gateway.outcome import CompleteResponse, LocalResponse
-from turmericrudder.steering import RequestKind
+from turmericrudder.steering import LoadCollector, RequestKind
 
 from .steering_makers import SETTINGS, make_balancer, make_endpoint, make_route
 
@@ -96,7 +96,7 @@
 async def forward(pool, *, targets=("t",), route=ROUTE, budget=None):
     """Return the final response to a request."""
     catalog, balancer = make_balancer(*map(make_endpoint, targets))
-    forwarder = Forwarder(SETTINGS, catalog, balancer, pool, ["here"])
+    forwarder = Forwarder(SETTINGS, catalog, balancer, pool, ["here"], LoadCollector())
     forwarder._retry_budgets["s"] = budget or CountingBudget(9)
     now = anyio.current_time()
     expires = now + route.timeout
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -52,6 +52,42 @@
         process.wait()
 
 
+@pytest.mark.anyio
+async def test_restarted_instance_does_not_use_a_target_that_left(rig):
+    """It is restarted while it cannot reach the store, so a peer is all it has."""
+    process = rig.start_instance(
+        port_offset=60, store_port_offset=79, seeds=[rig.get_port(4)]
+    )
+
+    async def is_ready():
+        return await rig.is_ready(port_offset=60)
+
+    async def has_left():
+        rig.targets[0].runs.clear()
+        for _ in range(6):
+            await rig.send_request(port_offset=60)
+        return rig.targets[0].runs == []
+
+    try:
+        await wait_for(is_ready, 5.0)
+        await rig.put({"servers/t0": None})
+        await wait_for(has_left, DRAIN_TIMEOUT + 1.0)
+        process.kill()
+        process.wait()
+        process = rig.start_instance(
+            port_offset=60, store_port_offset=79, seeds=[rig.get_port(4)]
+        )
+        await wait_for(is_ready, 5.0)
+        rig.targets[0].runs.clear()
+        for _ in range(10):
+            assert (await rig.send_request(port_offset=60)).status == 200
+        assert rig.targets[0].runs == []
+    finally:
+        process.kill()
+        process.wait()
+        await rig.put({"servers/t0": make_registration(rig.get_target_port(0), seq=95)})
+
+
 @pytest.mark.anyio
 async def test_follower_watches_the_store_when_the_reader_stalls(tmp_path):
     """Of two instances, the one that watches the store is paused; a target drains."""
--- a/tests/test_gateway_store_sync.py
+++ b/tests/test_gateway_store_sync.py
@@ -33,6 +33,41 @@
     await rig.put({"servers/t0": make_registration(port, seq=3)})
 
 
+@pytest.mark.anyio
+async def test_request_at_a_target_that_fell_silent_is_left_alone(rig):
+    """Its registration is removed while the target works: no second run, no failure.
+
+    The request is not idempotent. Others may be hedged, as after any long wait.
+    """
+    ports = [rig.get_target_port(number) for number in range(2)]
+    for target in rig.targets:
+        target.service_time = 1.0
+    responses = []
+
+    async def send():
+        responses.append(await rig.send_request("/write/x", "POST"))
+
+    try:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.3)
+            await rig.put({"servers/t0": None, "servers/t1": None})
+        assert [response.status for response in responses] == [200]
+        assert len(rig.get_runs()) == 1
+    finally:
+        await rig.put(
+            {
+                f"servers/t{number}": make_registration(port, seq=50 + number)
+                for number, port in enumerate(ports)
+            }
+        )
+
+        async def is_served():
+            return (await rig.send_request()).status == 200
+
+        await wait_for(is_served, 5)
+
+
 @pytest.mark.anyio
 async def test_malformed_entry_is_ignored(rig):
     await rig.put({"servers/bad": {"service": 7}, "servers/worse": "?"})
--- a/tests/test_target_order.py
+++ b/tests/test_target_order.py
@@ -21,6 +21,10 @@
 ROUTE = make_route(has_affinity=True)
 
 
+def get_equal_weight(target_id):
+    return 1.0
+
+
 def make_targets(count, get_slots=lambda number: 4):
     return [
         TrackedTarget(make_endpoint(f"t{number}", slots=get_slots(number)))
@@ -29,7 +33,7 @@
 
 
 def count_first(targets, keys):
-    group = TargetGroup(targets)
+    group = TargetGroup(targets, get_equal_weight)
     return Counter(
         group.rank(get_hash(f"k{number}"), 1)[0].endpoint.id for number in range(keys)
     )
@@ -46,7 +50,7 @@
 
 def test_second_ranks_of_one_target_are_spread():
     """The keys of a lost target go to many others."""
-    group = TargetGroup(make_targets(20))
+    group = TargetGroup(make_targets(20), get_equal_weight)
     ranks = [group.rank(get_hash(f"k{number}"), 2) for number in range(4000)]
     second = Counter(b.endpoint.id for a, b in ranks if a.endpoint.id == "t3")
     assert len(second) == 19 and max(second.values()) < 3 * statistics.mean(
@@ -56,7 +60,10 @@
 
 def test_adding_and_removing_a_target_moves_only_its_keys():
     targets = make_targets(30)
-    before, after = TargetGroup(targets), TargetGroup(targets[1:])
+    before, after = (
+        TargetGroup(targets, get_equal_weight),
+        TargetGroup(targets[1:], get_equal_weight),
+    )
     for number in range(500):
         key_hash = get_hash(f"k{number}")
         order = before.rank(key_hash, 5)
--- a/turmericrudder/events/catalogue.py
+++ b/turmericrudder/events/catalogue.py
@@ -223,6 +223,13 @@
     "evacuation of a failure domain ended; its targets may get requests again",
 )
 
+WEIGHTS_PLANNED = Event(
+    610,
+    "weights_planned",
+    INFO,
+    "weights of overloaded targets were changed; whole affinity keys move",
+)
+
 LOOKUP_ANSWERED = Event(
     701, "lookup_answered", DEBUG, "look-up returned a list of entry instances"
 )
--- a/turmericrudder/gateway/auxiliary_applications.py
+++ b/turmericrudder/gateway/auxiliary_applications.py
@@ -9,6 +9,7 @@
     "MetricsApplication",
     "ReadinessApplication",
     "SimpleApplication",
+    "write_response",
 ]
 
 # Fraction of ``lookup_ttl``, the longest time permitted, for which clients may cache a
@@ -17,6 +18,16 @@
 TTL_FRACTION = 0.2
 
 
+async def write_response(send, status, content_type, body):
+    """Send a complete response."""
+    headers = [
+        (b"content-type", content_type),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
 class SimpleApplication:
     """Base class of ASGI applications that respond without reading a body."""
 
@@ -27,17 +38,9 @@
 
     async def __call__(self, scope, receive, send):
         """Handle one HTTP request."""
-        status, content_type, body = await self.respond(
-            scope["path"], scope["query_string"]
-        )
-        headers = [
-            (b"content-type", content_type),
-            (b"content-length", b"%d" % len(body)),
-        ]
-        await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
+        await write_response(
+            send, *await self.respond(scope["path"], scope["query_string"])
         )
-        await send({"type": "http.response.body", "body": body})
 
     async def respond(self, path, query):
         """Return (status, content type, body)."""
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -40,6 +40,8 @@
     """Forwards requests to targets and retries or hedges them where that is safe.
 
     :param members: the live instances, which share the retry budget's fixed extra.
+    :param load_collector: a :class:`~turmericrudder.steering.LoadCollector` for the
+        targets' load reports.
     """
 
     __slots__ = (
@@ -47,18 +49,22 @@
         "_balancer",
         "_catalog",
         "_connection_pool",
+        "_load_collector",
         "_members",
         "_retry_budgets",
         "_settings",
         "_started_at",
     )
 
-    def __init__(self, settings, catalog, balancer, connection_pool, members):
+    def __init__(
+        self, settings, catalog, balancer, connection_pool, members, load_collector
+    ):
         self._settings = settings
         self._catalog = catalog
         self._balancer = balancer
         self._connection_pool = connection_pool
         self._members = members
+        self._load_collector = load_collector
         self._retry_budgets = {}
         self._started_at = anyio.current_time()
         self._attempt_numbers = itertools.count(1)
@@ -228,7 +234,9 @@
             return
         load = ServerLoad.parse(text.decode("latin-1"))
         if load is not None:
-            target.record_load_report(load, anyio.current_time())
+            now = anyio.current_time()
+            target.record_load_report(load, now)
+            self._load_collector.record(target.endpoint.id, load, now)
 
     def _record_response(self, request, target, connection, latency, selection, now):
         """Record a complete response with the target and the route's estimator.
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -12,7 +12,12 @@
 from ..metrics import Metrics
 from ..platform import MetadataStoreClient
 from ..settings import read_gateway_settings
-from ..steering import Balancer, GatewayMember, SmoothWeightedRoundRobin
+from ..steering import (
+    Balancer,
+    GatewayMember,
+    LoadCollector,
+    SmoothWeightedRoundRobin,
+)
 from .auxiliary_applications import (
     DirectoryApplication,
     MetricsApplication,
@@ -21,6 +26,7 @@
 from .cached_state import CachedState
 from .client_application import ClientApplication
 from .forwarder import Forwarder
+from .load_exchange import LoadExchange
 from .members import Members
 from .peer_sync import PeerApplication, PeerClient
 from .registration import Registration
@@ -84,12 +90,29 @@
         )
         catalog = self.cached_state.catalog
         balancer = Balancer(settings, catalog, self.members, self._random)
+        load_collector = LoadCollector()
         self.forwarder = Forwarder(
-            settings, catalog, balancer, self.connection_pool, self.members
+            settings,
+            catalog,
+            balancer,
+            self.connection_pool,
+            self.members,
+            load_collector,
+        )
+        peer_client = PeerClient()
+        self.load_exchange = LoadExchange(
+            settings,
+            self.own_member,
+            self.members,
+            catalog,
+            load_collector,
+            balancer.weights,
+            peer_client,
+            self.log,
         )
         self.store = MetadataStoreClient(settings.store)
         self.store_sync = StoreSync(
-            self.cached_state, self.store, PeerClient(), self.log
+            self.cached_state, self.store, peer_client, self.log
         )
         self.registration = Registration(self, self.own_member, self.store)
         self.client_listener = Listener(
@@ -139,6 +162,8 @@
             "members": len(self.members),
             "store_calls": self.store.call_count,
             "connections_opened": self.connection_pool.opened_count,
+            "load_exchanges": self.load_exchange.exchange_count,
+            "lowered_weights": len(self.load_exchange.get_weights()),
         }
         return self.metrics.format(gauges)
 
@@ -157,6 +182,7 @@
                     nonce=self.own_member.nonce,
                 )
                 tasks.start_soon(self.store_sync.run)
+                tasks.start_soon(self.load_exchange.run)
                 tasks.start_soon(self._register)
                 tasks.start_soon(self._run_housekeeping)
                 async for signal_number in signals:
--- a/turmericrudder/gateway/members.py
+++ b/turmericrudder/gateway/members.py
@@ -17,6 +17,7 @@
 
     :ivar instance_counts: (members in this instance's failure domain, failure domains
         of its region with members, failure domains of all regions with members).
+    :ivar region_size: number of members in this instance's region.
     """
 
     __slots__ = (
@@ -27,6 +28,7 @@
         "_reader",
         "_settings",
         "instance_counts",
+        "region_size",
     )
 
     def __init__(self, settings, own_member):
@@ -118,6 +120,7 @@
             len({m.failure_domain for m in local}),
             len({m.failure_domain for m in members}),
         )
+        self.region_size = len(local)
         self._reader = max(
             local, key=lambda m: get_score(STORE_READER_KEY, m.name), default=None
         )
--- a/turmericrudder/gateway/peer_sync.py
+++ b/turmericrudder/gateway/peer_sync.py
@@ -1,4 +1,4 @@
-"""Exchange of the store's changes between entry instances.
+"""Exchange of the store's changes and of loads between entry instances.
 
 It uses HTTP because the instance has HTTP listeners anyway, and pynng would add to
 the memory of every process for a few calls in an outage.
@@ -11,11 +11,15 @@
 from ..http_client import TRANSPORT_ERRORS, make_timeout_extensions, send_bounded
 from ..platform import Deletion, StoreEntry
 from ..units import MS_PER_SECOND
-from .auxiliary_applications import SimpleApplication
+from .auxiliary_applications import SimpleApplication, write_response
+from .load_exchange import LoadSummary, LoadUpdate
 
 __all__ = ["PeerApplication", "PeerClient", "PeerUpdate"]
 
 PATH = "/beliefs"
+LOADS_PATH = "/loads"
+MAX_SUMMARY_BYTES = 256 * 1024
+LOADS_TIMEOUT = 0.5  # seconds; an exchange that takes longer is out of date
 # Seconds to connect, and for the response beyond the wait that the poll asks for;
 # several round trips between regions.
 TIMEOUT_MARGIN = 0.5
@@ -59,10 +63,32 @@
 
 
 class PeerApplication(SimpleApplication):
-    """ASGI application that serves the change log to other instances."""
+    """ASGI application that serves the change log and loads to other instances."""
 
     __slots__ = ()
 
+    async def __call__(self, scope, receive, send):
+        """Handle one HTTP request."""
+        if scope["path"] == LOADS_PATH:
+            await write_response(send, *await self._exchange_loads(receive))
+        else:
+            await super().__call__(scope, receive, send)
+
+    async def _exchange_loads(self, receive):
+        body, has_more = b"", True
+        while has_more:
+            message = await receive()
+            body += message.get("body", b"")
+            has_more = message.get("more_body", False)
+            if len(body) > MAX_SUMMARY_BYTES:
+                return 413, b"text/plain", b""
+        try:
+            summary = msgspec.msgpack.decode(body, type=LoadSummary)
+        except msgspec.DecodeError:
+            return 400, b"text/plain", b""
+        update = self._instance.load_exchange.handle_summary(summary)
+        return 200, b"application/msgpack", msgspec.msgpack.encode(update)
+
     async def respond(self, path, query):
         """Return (status, content type, body)."""
         fields = dict(part.partition(b"=")[::2] for part in query.split(b"&"))
@@ -91,6 +117,20 @@
         """Close all connections."""
         await self._pool.aclose()
 
+    async def exchange_loads(self, address, summary):
+        """Send a :class:`LoadSummary` to the reader and return its :class:`LoadUpdate`.
+
+        :raises PeerUnreachable: if no valid response arrived.
+        """
+        return await self._call(
+            "POST",
+            f"http://{address}{LOADS_PATH}",
+            LOADS_TIMEOUT,
+            make_timeout_extensions(LOADS_TIMEOUT),
+            LoadUpdate,
+            msgspec.msgpack.encode(summary),
+        )
+
     async def get_update(self, address, after, wait):
         """Return the :class:`PeerUpdate` of an instance since a revision.
 
@@ -99,25 +139,33 @@
         :raises PeerUnreachable: if no valid response arrived.
         """
         wait_ms = int(wait * MS_PER_SECOND)
+        return await self._call(
+            "GET",
+            f"http://{address}{PATH}?after={after}&wait_ms={wait_ms}",
+            wait + TIMEOUT_MARGIN + TRANSFER_TIMEOUT,
+            make_timeout_extensions(TIMEOUT_MARGIN, read=wait + TIMEOUT_MARGIN),
+            PeerUpdate,
+        )
+
+    async def _call(self, method, url, timeout, extensions, message_type, content=None):
         try:
             response = await send_bounded(
                 self._pool,
-                "GET",
-                f"http://{address}{PATH}?after={after}&wait_ms={wait_ms}",
+                method,
+                url,
                 max_bytes=MAX_RESPONSE_BYTES,
-                timeout=wait + TIMEOUT_MARGIN + TRANSFER_TIMEOUT,
-                extensions=make_timeout_extensions(
-                    TIMEOUT_MARGIN, read=wait + TIMEOUT_MARGIN
-                ),
+                timeout=timeout,
+                content=content,
+                extensions=extensions,
             )
         except TRANSPORT_ERRORS as exc:
-            raise PeerUnreachable(f"{address}: {exc!r}") from None
+            raise PeerUnreachable(f"{url}: {exc!r}") from None
         if response.status != 200:
-            raise PeerUnreachable(f"{address}: status {response.status}")
+            raise PeerUnreachable(f"{url}: status {response.status}")
         try:
-            return msgspec.msgpack.decode(response.content, type=PeerUpdate)
+            return msgspec.msgpack.decode(response.content, type=message_type)
         except msgspec.DecodeError as exc:
-            raise PeerUnreachable(f"{address}: {exc}") from None
+            raise PeerUnreachable(f"{url}: {exc}") from None
 
 
 def _make_update(change_log, after):
--- a/turmericrudder/steering/__init__.py
+++ b/turmericrudder/steering/__init__.py
@@ -9,6 +9,8 @@
 from .entry_selection import choose_entry_instances
 from .gateway_member import GatewayMember
 from .hedging import can_hedge, get_hedge_delay
+from .load_board import LoadBoard
+from .load_collector import LoadCollector, TargetReport
 from .route import (
     Backend,
     ClientLimits,
@@ -20,7 +22,9 @@
 from .route_table import RouteTable
 from .selection import NoTarget, NoTargetReason, Selection, SelectionRequest
 from .server_load import ServerLoad
+from .target_weights import TargetWeights
 from .tracked_target import TrackedTarget
+from .weight_planner import LoadSample, WeightPlanner
 from .weighted_round_robin import SmoothWeightedRoundRobin
 from .windowed_retry_budget import WindowedRetryBudget
 
@@ -31,6 +35,9 @@
     "Endpoint",
     "EndpointCatalog",
     "GatewayMember",
+    "LoadBoard",
+    "LoadCollector",
+    "LoadSample",
     "NoTarget",
     "NoTargetReason",
     "RequestKind",
@@ -42,7 +49,10 @@
     "ServerLoad",
     "ServiceProfile",
     "SmoothWeightedRoundRobin",
+    "TargetReport",
+    "TargetWeights",
     "TrackedTarget",
+    "WeightPlanner",
     "WindowedRetryBudget",
     "can_hedge",
     "choose_entry_instances",
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -24,6 +24,7 @@
 from .selection import NoTarget, NoTargetReason, Selection
 from .service_targets import ServiceTargets
 from .service_time_estimator import UNSEEN_OTHER, UNSEEN_PREFERRED, ServiceTimeEstimator
+from .target_weights import TargetWeights
 
 __all__ = ["Balancer"]
 
@@ -76,6 +77,7 @@
         have instances) and ``may_send_to_cold(endpoint)``, which returns whether
         this instance is the one that sends to a target while it is cold.
     :param random: a ``random.Random``.
+    :ivar weights: the :class:`~turmericrudder.steering.TargetWeights`.
     """
 
     __slots__ = (
@@ -87,6 +89,7 @@
         "_service_targets",
         "_settings",
         "_shift_limiter",
+        "weights",
     )
 
     def __init__(self, settings, catalog, members, random):
@@ -97,6 +100,7 @@
         self._estimators = {}  # route name -> ServiceTimeEstimator
         self._planners = {}  # service -> RemoteSharePlanner
         self._service_targets = {}  # (service, home regions) -> ServiceTargets
+        self.weights = TargetWeights()
         self._shift_limiter = RegionShiftLimiter(settings.bounds.max_shift)
 
     def get_estimator(self, route):
@@ -172,11 +176,16 @@
         home_regions = request.route.home_regions
         key = (request.service, home_regions)
         service_targets = self._service_targets.get(key)
-        if service_targets is None or service_targets.source is not source:
+        if (
+            service_targets is None
+            or service_targets.source is not source
+            or service_targets.weights_revision != self.weights.revision
+        ):
             if len(self._service_targets) >= MAX_SERVICE_TARGETS:
                 self._service_targets.clear()
             service_targets = self._service_targets[key] = ServiceTargets(
                 source,
+                self.weights,
                 self._is_remote,
                 lambda target: (
                     not home_regions or self._get_region(target) in home_regions
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -53,6 +53,10 @@
         """Return the :class:`TrackedTarget` of a registered target, or ``None``."""
         return self._targets.get(target_id)
 
+    def get_services(self):
+        """Return the names of the services that have or had registered targets."""
+        return list(self._by_service)
+
     def get_targets(self, service):
         """Return the registered targets of a service as :class:`TrackedTarget`.
 
--- a/turmericrudder/steering/service_targets.py
+++ b/turmericrudder/steering/service_targets.py
@@ -48,9 +48,10 @@
 class ServiceTargets:
     """Local and remote targets of a service that a route may use.
 
-    It is made anew when a target is added or removed.
+    It is made anew when a target is added or removed, or weights change.
 
     :ivar source: the tuple of targets it was made from.
+    :ivar weights_revision: revision of the weights it was made with.
     :ivar local: :class:`TargetGroup` of the targets in this instance's region.
     :ivar remote: :class:`TargetGroup` of the others.
     """
@@ -62,18 +63,21 @@
         "local",
         "remote",
         "source",
+        "weights_revision",
     )
 
-    def __init__(self, source, is_remote, is_allowed):
+    def __init__(self, source, weights, is_remote, is_allowed):
         """Divide the targets.
 
+        :param weights: the :class:`~turmericrudder.steering.TargetWeights` in use.
         :param is_remote: function of a target.
         :param is_allowed: function of a target, whether the route may use it.
         """
         self.source = source
+        self.weights_revision = weights.revision
         allowed = [target for target in source if is_allowed(target)]
-        self.local = TargetGroup(t for t in allowed if not is_remote(t))
-        self.remote = TargetGroup(t for t in allowed if is_remote(t))
+        self.local = TargetGroup((t for t in allowed if not is_remote(t)), weights.get)
+        self.remote = TargetGroup((t for t in allowed if is_remote(t)), weights.get)
         self._orders = {}
         self._utilization = None
         self._utilization_expires = 0.0
--- a/turmericrudder/steering/service_time_estimator.py
+++ b/turmericrudder/steering/service_time_estimator.py
@@ -12,7 +12,7 @@
 # Priors: a key that the target has not handled takes longer than one that it has.
 PRIOR_SEEN = 0.4  # fraction of the route's objective
 PRIOR_UNSEEN_PREFERRED = 1.7  # factor on the estimate for recent keys
-PRIOR_UNSEEN_OTHER = 2.5  # factor on the estimate for recent keys
+PRIOR_UNSEEN_OTHER = 4.0  # factor on the estimate for recent keys
 MIN_SAMPLES = 4  # samples after which an estimate replaces its prior
 
 
@@ -39,14 +39,12 @@
         :param key: an age, :data:`UNSEEN_PREFERRED` or :data:`UNSEEN_OTHER`; 0 for a
             request without an affinity key.
         """
-        estimate = self._estimates.get(key)
-        if estimate is not None and estimate[1] >= MIN_SAMPLES:
-            return estimate[0]
-        if key == UNSEEN_PREFERRED:
-            return PRIOR_UNSEEN_PREFERRED * self.get_seen_key_seconds()
+        seconds = self._get_average(key)
         if key == UNSEEN_OTHER:
-            return PRIOR_UNSEEN_OTHER * self.get_seen_key_seconds()
-        return self.get_seen_key_seconds()
+            # When all caches are empty, keys take long at their preferred targets too.
+            # Other targets have not been tried then, but are no faster.
+            seconds = max(seconds, self._get_average(UNSEEN_PREFERRED))
+        return seconds
 
     def record(self, key, seconds):
         """Add a sample.
@@ -62,6 +60,17 @@
         weight = max(WEIGHT, 1.0 / estimate[1])
         estimate[0] += weight * (seconds - estimate[0])
 
+    def _get_average(self, key):
+        """Return the average of a key's samples, or its prior."""
+        estimate = self._estimates.get(key)
+        if estimate is not None and estimate[1] >= MIN_SAMPLES:
+            return estimate[0]
+        if key == UNSEEN_PREFERRED:
+            return PRIOR_UNSEEN_PREFERRED * self.get_seen_key_seconds()
+        if key == UNSEEN_OTHER:
+            return PRIOR_UNSEEN_OTHER * self.get_seen_key_seconds()
+        return self.get_seen_key_seconds()
+
     def get_seen_key_seconds(self):
         """Return the expected service time for recent keys of any age, in seconds."""
         seen = [
--- a/turmericrudder/steering/target_group.py
+++ b/turmericrudder/steering/target_group.py
@@ -23,20 +23,28 @@
 
     __slots__ = ("_hashes", "_inverse_weights", "targets")
 
-    def __init__(self, targets):
+    def __init__(self, targets, get_weight):
+        """Compute what the orders of all keys have in common.
+
+        :param get_weight: function of a target's id; factor on its slots.
+        """
         self.targets = tuple(targets)
         # Odd factors, since an even one would lose bits of the key's hash.
         self._hashes = [get_hash(target.endpoint.id) | 1 for target in self.targets]
-        slots = [max(1, target.endpoint.slots) for target in self.targets]
+        weights = [
+            max(1, target.endpoint.slots) * get_weight(target.endpoint.id)
+            for target in self.targets
+        ]
         # Equal weights are left out, since the power takes time.
         self._inverse_weights = (
-            [1.0 / count for count in slots] if len(set(slots)) > 1 else None
+            [1.0 / weight for weight in weights] if len(set(weights)) > 1 else None
         )
 
     def rank(self, key_hash, count):
         """Return the first targets of a key's order, best first.
 
-        A target is first for a share of the keys in proportion to its slots.
+        A target is first for a share of the keys in proportion to its slots, times its
+        weight.
 
         :param key_hash: :func:`~turmericrudder.rendezvous.get_hash` of the key.
         :param count: how many targets to return at most.
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -156,6 +156,18 @@
         self._slowdown = load.slowdown
         self._slowdown_at = now
 
+    def record_shared_load(self, report):
+        """Set the load and the slowdown from another instance's report.
+
+        :param report: a :class:`TargetReport`; ignored unless it is later than the
+            last one known.
+        """
+        if report.reported_at <= self._load_reported_at:
+            return
+        self._other_load = max(0.0, report.load - self.in_flight)
+        self._load_reported_at = self._slowdown_at = report.reported_at
+        self._slowdown = report.slowdown
+
     def record_response(self, service_time, now):
         """Count a request that the target executed.
 
