--- a/turmericrudder/steering/service_targets.py
+++ b/turmericrudder/steering/service_targets.py
@@ -14,7 +14,10 @@
 CACHED_REMOTE_RANKS = 12
 # Name that the affinity region of a key is hashed with; no target has this id.
 _REGION_NAME = ""
-UTILIZATION_TTL = 0.25  # seconds; loads of other instances are as old as this
+# Seconds for which the utilization is kept if there are many targets; the loads of
+# other instances are as old as this.
+UTILIZATION_TTL = 0.25
+MAX_UNCACHED_TARGETS = 32  # up to this number, the utilization is always computed
 # A target's load counts up to this many times its slots.
 MAX_TARGET_UTILIZATION = 2.0
 
@@ -106,11 +109,15 @@
         )
 
     def get_utilization(self, is_usable, now):
-        """Return the :class:`Utilization`, at most ``UTILIZATION_TTL`` old.
+        """Return the :class:`Utilization`, of many targets up to ``UTILIZATION_TTL`` old.
 
         :param is_usable: function of a target.
         """
-        if self._utilization is None or now >= self._utilization_expires:
+        if (
+            len(self.source) <= MAX_UNCACHED_TARGETS
+            or self._utilization is None
+            or now >= self._utilization_expires
+        ):
             self._utilization = self._compute_utilization(is_usable, now)
             self._utilization_expires = now + UTILIZATION_TTL
         return self._utilization
