--- a/turmericrudder/steering/service_targets.py
+++ b/turmericrudder/steering/service_targets.py
@@ -109,7 +109,7 @@
         )
 
     def get_utilization(self, is_usable, now):
-        """Return the :class:`Utilization`, of many targets up to ``UTILIZATION_TTL`` old.
+        """Return the :class:`Utilization`, for many targets up to a quarter second old.
 
         :param is_usable: function of a target.
         """
