Reject no request while another target of the region has a free slot

Cause: with a few candidates compared, a request was rejected as too late when its candidates had long queues, although others of many targets were idle.

Change: all targets are compared before such a rejection, if the region has a free slot by the last utilization; under full load the rejection stays cheap.

Measured: with 240 and 299 of 300 targets busy, no key of 100 is rejected (some were before); with 300 of 300 all are.

--- a/tests/test_target_order.py
+++ b/tests/test_target_order.py
@@ -153,6 +153,29 @@
     assert isinstance(chooser.choose(request, 0.0), NoTarget)
 
 
+def count_rejected(busy_count):
+    """Return how many of 100 keys are rejected if some of 300 targets have queues."""
+    endpoints = [make_endpoint(f"t{number}", slots=2) for number in range(300)]
+    catalog, chooser = make_balancer(*endpoints)
+    for number in range(busy_count):
+        target = catalog.get_target(f"t{number}")
+        target.mean_service_time = 1.0
+        for attempt_number in range(20):
+            target.start_request(attempt_number, 0.0)
+    return sum(
+        isinstance(
+            chooser.choose(make_selection_request(ROUTE, f"k{number}"), 0.0), NoTarget
+        )
+        for number in range(100)
+    )
+
+
+def test_request_is_not_rejected_while_another_target_has_room():
+    assert count_rejected(240) == 0
+    assert count_rejected(299) == 0
+    assert count_rejected(300) == 100
+
+
 def test_order_follows_changes_of_targets():
     endpoints = [make_endpoint(f"t{number}") for number in range(50)]
     catalog, chooser = make_balancer(*endpoints)
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -13,7 +13,8 @@
 
 Only a few candidates are compared: the first of each order and some random others, so
 that the time of a selection does not grow with the number of targets. All targets are
-compared if no candidate can take the request.
+compared if no candidate can take the request, or none in time although the region has
+free slots.
 """
 
 import math
@@ -150,6 +151,8 @@
             if reason is not None:
                 return reason
         best = self._get_cheapest(request, service_targets, order, local, remote, now)
+        if now + best.expected_latency > request.expires:
+            best = self._get_cheapest_of_all(request, service_targets, order, best, now)
         if now + best.expected_latency > request.expires:
             return NoTarget(NoTargetReason.TOO_LATE, best.expected_latency / 2)
         return best
@@ -251,6 +254,18 @@
             return NoTarget(NoTargetReason.ALL_COLD, 1.0)
         return None
 
+    def _get_cheapest_of_all(self, request, service_targets, order, best, now):
+        """Return the cheapest of all targets if some in the region have free slots.
+
+        :param best: the cheapest of a few candidates; returned otherwise.
+        """
+        utilization = service_targets.get_utilization(self._catalog.is_usable, now)
+        if not utilization.has_free_slots:
+            return best
+        local, remote = [], []
+        self._add_all_candidates(request, service_targets, local, remote, now)
+        return self._get_cheapest(request, service_targets, order, local, remote, now)
+
     def _is_candidate(self, target, request, now):
         return (
             now >= target.ejected_until
--- a/turmericrudder/steering/service_targets.py
+++ b/turmericrudder/steering/service_targets.py
@@ -41,11 +41,13 @@
     :param local_slots: slots in the local region.
     :param all_slots: slots in all regions.
     :param local: load divided by slots over the local region, 1 without slots.
+    :param has_free_slots: whether a target of the local region has a free slot.
     """
 
     local_slots: int
     all_slots: int
     local: float
+    has_free_slots: bool
 
 
 class ServiceTargets:
@@ -125,11 +127,14 @@
     def _compute_utilization(self, is_usable, now):
         local_slots = remote_slots = 0
         local_load = 0.0
+        has_free_slots = False
         for target in self.local.targets:
             if is_usable(target) and not target.is_cold(now):
                 slots = target.endpoint.slots
                 local_slots += slots
-                local_load += min(target.get_load(now), MAX_TARGET_UTILIZATION * slots)
+                load = target.get_load(now)
+                local_load += min(load, MAX_TARGET_UTILIZATION * slots)
+                has_free_slots = has_free_slots or load + 1 <= slots
         for target in self.remote.targets:
             if is_usable(target) and not target.is_cold(now):
                 remote_slots += target.endpoint.slots
@@ -137,4 +142,5 @@
             local_slots,
             local_slots + remote_slots,
             local_load / local_slots if local_slots else 1.0,
+            has_free_slots,
         )
