Send nothing for a client that has left; let a restarted reader keep weights

Cause: a request that is not idempotent went on after its client had disconnected, with a connection that was still being opened, or a retry: a target got it although nobody waited. And a reader that restarts had no weights and sent that to the others, so that the keys of crowded targets moved back.

Change: the disconnect is recorded and no further attempt is sent; what a target has begun is left to end, as before. A reader without weights asks an instance for those in use and continues from them.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,10 +1,12 @@
 """Attempts and hedges of one request, with a scripted connection pool."""
 
+from functools import partial
 from types import SimpleNamespace
 
 import anyio
 import pytest
 
+from turmericrudder.cancellation import RequestCancelled, run_observed
 from turmericrudder.errors import ConnectFailed, ResponseFailed
 from turmericrudder.gateway.client_request import ClientRequest
 from turmericrudder.gateway.forwarder import Forwarder
@@ -17,6 +19,9 @@
 FAST = 0.01  # seconds
 OBJECTIVE = 0.1  # seconds
 ROUTE = make_route(timeout=0.6, objective=OBJECTIVE, max_attempts=1)
+WRITE_ROUTE = make_route(
+    timeout=0.6, objective=OBJECTIVE, max_attempts=2, kind=RequestKind.NON_IDEMPOTENT
+)
 SIGNED = [(b"x-response-signature", b"1")]
 
 
@@ -33,9 +38,10 @@
     def __init__(self, step):
         self.delay, self.status = step
         self.headers = SIGNED
-        self.is_closed = False
+        self.is_closed = self.is_sent = False
 
     async def send_request(self, head, body, attempt_id, is_head):
+        self.is_sent = True
         await anyio.sleep(self.delay)
         if self.status is None:
             raise ResponseFailed("closed")
@@ -93,8 +99,13 @@
         return self.retries <= self._remaining
 
 
-async def forward(pool, *, targets=("t",), route=ROUTE, budget=None):
-    """Return the final response to a request."""
+async def forward(
+    pool, *, targets=("t",), route=ROUTE, budget=None, abandoned_after=None
+):
+    """Return the final response to a request.
+
+    :param abandoned_after: seconds after which its client disconnects.
+    """
     catalog, balancer = make_balancer(*map(make_endpoint, targets))
     forwarder = Forwarder(SETTINGS, catalog, balancer, pool, ["here"], LoadCollector())
     forwarder._retry_budgets["s"] = budget or CountingBudget(9)
@@ -104,7 +115,13 @@
     request = ClientRequest(
         "GET", b"/", [], b"id", None, route, "s", now, expires, expires, log_buffer
     )
-    return await forwarder.forward(request)
+    if abandoned_after is None:
+        return await forwarder.forward(request)
+    return await run_observed(
+        partial(anyio.sleep, abandoned_after),
+        request.abandon,
+        forwarder.forward(request),
+    )
 
 
 @pytest.mark.anyio
@@ -191,3 +208,29 @@
     )
     assert len(pool.targets) == 2
     assert len(set(pool.targets)) == 1
+
+
+class SlowPool(ScriptedPool):
+    """A connection pool whose connections take ``2 * FAST`` seconds to open."""
+
+    async def acquire(self, target, round_trip, must_be_fresh):
+        await anyio.sleep(2 * FAST)
+        return await super().acquire(target, round_trip, must_be_fresh)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "pool", [SlowPool((FAST, 200)), ScriptedPool((2 * FAST, 503), (FAST, 200))]
+)
+async def test_nothing_is_sent_after_the_client_has_left(pool):
+    """The client leaves while a connection is opened, and before a retry."""
+    with pytest.raises(RequestCancelled):
+        await forward(pool, targets="tu", route=WRITE_ROUTE, abandoned_after=FAST)
+    assert [c for c in pool.connections if c.is_sent and c.status == 200] == []
+
+
+@pytest.mark.anyio
+async def test_request_that_is_not_idempotent_runs_on_after_the_client_has_left():
+    pool = ScriptedPool((4 * FAST, 200))
+    response = await forward(pool, route=WRITE_ROUTE, abandoned_after=FAST)
+    assert isinstance(response, CompleteResponse)
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -1,17 +1,22 @@
 """Loads that instances exchange, weights planned from them, and what callers get."""
 
+from types import SimpleNamespace
+
 import anyio
 import httpcore
 import msgspec
 import pytest
 
-from turmericrudder.gateway.load_exchange import LoadSummary, LoadUpdate
+from turmericrudder.events import EventLog
+from turmericrudder.gateway.load_exchange import LoadExchange, LoadSummary, LoadUpdate
 from turmericrudder.steering import (
+    EndpointCatalog,
     LoadBoard,
     LoadCollector,
     LoadSample,
     ServerLoad,
     TargetReport,
+    TargetWeights,
     WeightPlanner,
 )
 from turmericrudder.steering.load_board import MAX_AGE, MAX_REPORTS
@@ -188,3 +193,54 @@
     assert msgspec.msgpack.decode(
         msgspec.msgpack.encode(LoadSummary("n", "", [])), type=LoadSummary
     )
+
+
+def make_exchange(name, reader=None):
+    """Return a :class:`LoadExchange` that knows no targets.
+
+    :param reader: another exchange that is the reader, ``None`` if it is this one.
+    """
+
+    async def exchange_loads(address, summary):
+        return reader.handle_summary(summary)
+
+    members = SimpleNamespace(
+        region_size=2, get_reader_address=lambda: reader and "127.0.0.1:1"
+    )
+    return LoadExchange(
+        SimpleNamespace(regions={}),
+        SimpleNamespace(name=name, nonce=f"nonce-{name}"),
+        FakeMembers(members),
+        EndpointCatalog(),
+        LoadCollector(),
+        TargetWeights(),
+        SimpleNamespace(exchange_loads=exchange_loads),
+        EventLog(),
+    )
+
+
+class FakeMembers:
+    def __init__(self, fields):
+        self.region_size = fields.region_size
+        self.get_reader_address = fields.get_reader_address
+
+    def __len__(self):
+        return 2
+
+
+@pytest.mark.anyio
+async def test_restarted_reader_continues_from_the_weights_in_use():
+    reader = make_exchange("reader")
+    follower = make_exchange("follower", reader)
+    reader._weights.replace({"t1": 0.5})
+    reader._weights_id = "nonce-reader.1"
+    await follower._exchange("127.0.0.1:1", [], anyio.current_time())
+    assert follower.get_weights() == {"t1": 0.5}
+    # The reader restarts without weights. The follower keeps its own and sends them.
+    restarted = make_exchange("reader")
+    follower._peer_client = make_exchange("x", restarted)._peer_client
+    for _ in range(2):
+        await follower._exchange("127.0.0.1:1", [], anyio.current_time())
+        assert follower.get_weights() == {"t1": 0.5}
+    assert restarted.get_weights() == {"t1": 0.5}
+    assert restarted._weights_id == follower._weights_id
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from ..cancellation import RequestCancelled, run_cancellable
+from ..cancellation import RequestCancelled, run_cancellable, run_observed
 from ..errors import RequestRejected, ResponseFailed
 from ..events import catalogue
 from ..platform import protocol
@@ -69,10 +69,14 @@
         reader = BodyReader(scope, receive, instance.cached_state.limits)
         await reader.read(request)
         forward = instance.forwarder.forward(request)
-        if request.route.is_idempotent and request.body is not None:
+        if request.body is None:
+            response = await forward
+        elif request.route.is_idempotent:
             response = await run_cancellable(reader.wait_disconnected, forward)
         else:
-            response = await forward
+            response = await run_observed(
+                reader.wait_disconnected, request.abandon, forward
+            )
         match response:
             case LocalResponse():
                 await writer.write_local(response)
--- a/turmericrudder/gateway/client_request.py
+++ b/turmericrudder/gateway/client_request.py
@@ -35,6 +35,8 @@
     :param body_stream: async iterator of the body's bytes as sent on the connection:
         in HTTP's chunked encoding if ``body_length`` is ``None``.
     :param body_length: the body's length in bytes, or ``None`` if it is chunked.
+    :param is_abandoned: whether the client has disconnected. What has been sent to a
+        target is left to end there, but nothing more is sent.
     """
 
     method: str
@@ -51,6 +53,11 @@
     body: bytes | None = b""
     body_stream: object = None
     body_length: int | None = 0
+    is_abandoned: bool = False
+
+    def abandon(self):
+        """Record that the client has disconnected."""
+        self.is_abandoned = True
 
     def make_head(self, target_id, now):
         """Return the head of the request to a target as bytes.
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from ..cancellation import RequestCancelled
 from ..errors import ConnectFailed, ResponseFailed
 from ..events import catalogue
 from ..platform import protocol
@@ -86,6 +87,7 @@
         request = state.request
         budget = self._get_retry_budget(request.service)
         while True:
+            _raise_if_abandoned(request)
             now = anyio.current_time()
             selection_request = self._make_selection_request(state)
             selection = self._balancer.choose(selection_request, now)
@@ -168,6 +170,7 @@
             connection = await self._connection_pool.acquire(
                 target, selection.round_trip, must_be_fresh
             )
+            _raise_if_abandoned(request)
             now = anyio.current_time()
             state.record_attempt()
             _log_attempt_started(
@@ -295,6 +298,11 @@
         return budget
 
 
+def _raise_if_abandoned(request):
+    if request.is_abandoned:
+        raise RequestCancelled("client disconnected")
+
+
 def _log_attempt_started(request, selection, now, is_new, is_hedge):
     target = selection.target
     request.log_buffer.append(
--- a/turmericrudder/gateway/load_exchange.py
+++ b/turmericrudder/gateway/load_exchange.py
@@ -42,23 +42,29 @@
     """The reports that one instance received since its last summary.
 
     :param instance: name of the instance.
-    :param weights_id: identifies the weights it uses.
+    :param weights_id: identifies the weights it uses, empty without any.
+    :param weights: these weights by target id, if the reader has asked for them.
     """
 
     instance: str
     weights_id: str
     reports: list[_Report]
+    weights: dict[str, float] | None = None
 
 
 class LoadUpdate(msgspec.Struct):
     """The response of the reader.
 
-    :param weights: the weights below 1 by target id, ``None`` if the instance has them.
+    :param weights: the weights below 1 by target id, ``None`` if the instance has them
+        or the reader has none.
+    :param must_send_weights: whether the reader has just started, so that it needs the
+        weights in use.
     """
 
     weights_id: str
     weights: dict[str, float] | None
     reports: list[_Report]
+    must_send_weights: bool = False
 
 
 class LoadExchange:
@@ -78,6 +84,7 @@
         "_last_sent",
         "_log",
         "_members",
+        "_must_send_weights",
         "_own_member",
         "_peer_client",
         "_planned_at",
@@ -104,6 +111,7 @@
         self._planned_at = 0.0
         self._is_reader = False
         self._weights_id = ""
+        self._must_send_weights = False
         self.exchange_count = 0
         self._last_sent = {}  # instance name -> time of the last response
 
@@ -132,16 +140,31 @@
         for report in _decode_reports(summary.reports, now):
             self._record(report, now)
             self._apply_report(report)
+        if summary.weights and not self._weights_id:
+            self._adopt(summary, now)
         since = self._last_sent.get(summary.instance, 0.0)
         self._last_sent[summary.instance] = now
         if len(self._last_sent) > 2 * len(self._members) + 1:
             del self._last_sent[next(iter(self._last_sent))]
+        has_weights = self._weights_id not in ("", summary.weights_id)
         return LoadUpdate(
             self._weights_id,
-            None if summary.weights_id == self._weights_id else self._weights.get_all(),
+            self._weights.get_all() if has_weights else None,
             _encode_reports(self._board.get_since(since, now), now),
+            must_send_weights=not self._weights_id and bool(summary.weights_id),
         )
 
+    def _adopt(self, summary, now):
+        """Continue from the weights that another instance still uses."""
+        weights = {
+            target_id: weight
+            for target_id, weight in summary.weights.items()
+            if 0.0 < weight < 1.0
+        }
+        self._weights.replace(weights)
+        self._planner.adopt(weights, now)
+        self._weights_id = summary.weights_id
+
     def _act_as_reader(self, reports, now):
         if not self._is_reader:
             self._is_reader = True
@@ -162,7 +185,10 @@
 
     async def _exchange(self, address, reports, now):
         summary = LoadSummary(
-            self._own_member.name, self._weights_id, _encode_reports(reports, now)
+            self._own_member.name,
+            self._weights_id,
+            _encode_reports(reports, now),
+            self._weights.get_all() if self._must_send_weights else None,
         )
         try:
             update = await self._peer_client.exchange_loads(address, summary)
@@ -172,6 +198,7 @@
         now = anyio.current_time()
         for report in _decode_reports(update.reports, now):
             self._apply_report(report)
+        self._must_send_weights = update.must_send_weights
         if update.weights is not None:
             self._weights.replace(update.weights)
             self._weights_id = update.weights_id
