Send no request whose client has disconnected already

A busy process reads a request and its client's disconnect in the same turn; the request's task began first and sent it on a connection that was idle.

Ruled out: bytes that wait in the kernel, since a request that is given up resets its connection.

Change: a request's task yields once before the first attempt, and each attempt looks at the client's connection just before it is sent, instead of waiting to be told.

Measured: test_request_whose_client_has_left_already_is_not_sent stops a process while clients send and leave; both cases failed before, with idle connections.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,12 +1,11 @@
 """Attempts and hedges of one request, with a scripted connection pool."""
 
-from functools import partial
 from types import SimpleNamespace
 
 import anyio
 import pytest
 
-from turmericrudder.cancellation import RequestCancelled, run_observed
+from turmericrudder.cancellation import RequestCancelled
 from turmericrudder.errors import ConnectFailed, ResponseFailed
 from turmericrudder.gateway.client_request import ClientRequest
 from turmericrudder.gateway.forwarder import Forwarder
@@ -99,12 +98,10 @@
         return self.retries <= self._remaining
 
 
-async def forward(
-    pool, *, targets=("t",), route=ROUTE, budget=None, abandoned_after=None
-):
+async def forward(pool, *, targets=("t",), route=ROUTE, budget=None, left_after=None):
     """Return the final response to a request.
 
-    :param abandoned_after: seconds after which its client disconnects.
+    :param left_after: seconds after which its client disconnects.
     """
     catalog, balancer = make_balancer(*map(make_endpoint, targets))
     forwarder = Forwarder(SETTINGS, catalog, balancer, pool, ["here"], LoadCollector())
@@ -115,13 +112,9 @@
     request = ClientRequest(
         "GET", b"/", [], b"id", None, route, "s", now, expires, expires, log_buffer
     )
-    if abandoned_after is None:
-        return await forwarder.forward(request)
-    return await run_observed(
-        partial(anyio.sleep, abandoned_after),
-        request.abandon,
-        forwarder.forward(request),
-    )
+    if left_after is not None:
+        request.is_disconnected = lambda: anyio.current_time() >= now + left_after
+    return await forwarder.forward(request)
 
 
 @pytest.mark.anyio
@@ -225,12 +218,12 @@
 async def test_nothing_is_sent_after_the_client_has_left(pool):
     """The client leaves while a connection is opened, and before a retry."""
     with pytest.raises(RequestCancelled):
-        await forward(pool, targets="tu", route=WRITE_ROUTE, abandoned_after=FAST)
+        await forward(pool, targets="tu", route=WRITE_ROUTE, left_after=FAST)
     assert [c for c in pool.connections if c.is_sent and c.status == 200] == []
 
 
 @pytest.mark.anyio
 async def test_request_that_is_not_idempotent_runs_on_after_the_client_has_left():
     pool = ScriptedPool((4 * FAST, 200))
-    response = await forward(pool, route=WRITE_ROUTE, abandoned_after=FAST)
+    response = await forward(pool, route=WRITE_ROUTE, left_after=FAST)
     assert isinstance(response, CompleteResponse)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -1,11 +1,14 @@
 """Requests through a gateway process, as seen by clients and targets."""
 
+import signal
+
 import anyio
 import pytest
 
 from turmericrudder.headers import get_header
 from turmericrudder.platform import protocol
 
+from .platform_documents import HOST
 from .platform_rig import wait_for
 
 BASE = 21000  # first port of this module's rig
@@ -142,3 +145,28 @@
     assert response.status == 500
     assert get_header(response.headers, protocol.RESPONSE_SIGNATURE_HEADER) == b"signed"
     assert rig.get_runs() == ["only"]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/read/x", "/write/x"])
+async def test_request_whose_client_has_left_already_is_not_sent(rig, path):
+    """The process is busy, so that it finds the request and the disconnect together."""
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: left\r\n"
+        "X-Deadline-Ms: 100\r\nContent-Length: 0\r\n\r\n"
+    )
+    for _ in range(4):  # leaves idle connections to the targets
+        assert (await rig.send_request(path, "POST")).status == 200
+    for target in rig.targets:
+        target.runs.clear()
+    rig.process.send_signal(signal.SIGSTOP)
+    try:
+        for _ in range(5):
+            stream = await anyio.connect_tcp(HOST, rig.get_port(1))
+            await stream.send(head.encode())
+            await stream.aclose()
+    finally:
+        rig.process.send_signal(signal.SIGCONT)
+    assert (await rig.send_request(attempt_id="stays")).status == 200
+    await anyio.sleep(0.1)
+    assert rig.get_runs() == ["stays"]
--- a/turmericrudder/cancellation.py
+++ b/turmericrudder/cancellation.py
@@ -4,7 +4,7 @@
 
 from .errors import SteeringError
 
-__all__ = ["RequestCancelled", "run_cancellable", "run_observed"]
+__all__ = ["RequestCancelled", "run_cancellable"]
 
 
 class RequestCancelled(SteeringError):
@@ -34,31 +34,6 @@
     return result
 
 
-async def run_observed(wait_event, on_event, awaitable):
-    """Return the result of ``awaitable``; call ``on_event`` if an event occurs first.
-
-    :param wait_event: async function without arguments that returns after the event.
-    :param on_event: function without arguments.
-    """
-    error = result = None
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_call_after, wait_event, on_event)
-        try:
-            result = await awaitable
-        except Exception as exc:
-            # Raised outside the task group, which would wrap it.
-            error = exc
-        tasks.cancel_scope.cancel()
-    if error is not None:
-        raise error
-    return result
-
-
-async def _call_after(wait_event, on_event):
-    await wait_event()
-    on_event()
-
-
 async def _cancel_after(wait_cancelled, scope):
     await wait_cancelled()
     scope.cancel()
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from ..cancellation import RequestCancelled, run_cancellable, run_observed
+from ..cancellation import RequestCancelled, run_cancellable
 from ..errors import RequestRejected, ResponseFailed
 from ..events import catalogue
 from ..platform import protocol
@@ -68,15 +68,13 @@
             raise RequestRejected(503, "stopping", retry_after=0.05)
         reader = BodyReader(scope, receive, instance.cached_state.limits)
         await reader.read(request)
+        # A busy process may find the request and its client's disconnect together.
+        await anyio.lowlevel.checkpoint()
         forward = instance.forwarder.forward(request)
-        if request.body is None:
-            response = await forward
-        elif request.route.is_idempotent:
+        if request.route.is_idempotent and request.body is not None:
             response = await run_cancellable(reader.wait_disconnected, forward)
         else:
-            response = await run_observed(
-                reader.wait_disconnected, request.abandon, forward
-            )
+            response = await forward
         match response:
             case LocalResponse():
                 await writer.write_local(response)
@@ -130,6 +128,7 @@
             expires=min(now + route.timeout, deadline),
             deadline=deadline,
             log_buffer=log_buffer,
+            is_disconnected=scope["is_disconnected"],
         )
 
 
--- a/turmericrudder/gateway/client_request.py
+++ b/turmericrudder/gateway/client_request.py
@@ -1,5 +1,6 @@
 """A client's request and the head that is sent to targets for it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ..headers import get_hop_by_hop_headers
@@ -16,6 +17,10 @@
 )
 
 
+def _is_never_disconnected():
+    return False
+
+
 @dataclass(slots=True)
 class ClientRequest:
     """A client's request.
@@ -35,8 +40,8 @@
     :param body_stream: async iterator of the body's bytes as sent on the connection:
         in HTTP's chunked encoding if ``body_length`` is ``None``.
     :param body_length: the body's length in bytes, or ``None`` if it is chunked.
-    :param is_abandoned: whether the client has disconnected. What has been sent to a
-        target is left to end there, but nothing more is sent.
+    :param is_disconnected: function that returns whether the client has disconnected;
+        nothing more is sent to targets then.
     """
 
     method: str
@@ -53,11 +58,7 @@
     body: bytes | None = b""
     body_stream: object = None
     body_length: int | None = 0
-    is_abandoned: bool = False
-
-    def abandon(self):
-        """Record that the client has disconnected."""
-        self.is_abandoned = True
+    is_disconnected: Callable[[], bool] = _is_never_disconnected
 
     def make_head(self, target_id, now):
         """Return the head of the request to a target as bytes.
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -87,7 +87,7 @@
         request = state.request
         budget = self._get_retry_budget(request.service)
         while True:
-            _raise_if_abandoned(request)
+            _raise_if_disconnected(request)
             now = anyio.current_time()
             selection_request = self._make_selection_request(state)
             selection = self._balancer.choose(selection_request, now)
@@ -170,7 +170,7 @@
             connection = await self._connection_pool.acquire(
                 target, selection.round_trip, must_be_fresh
             )
-            _raise_if_abandoned(request)
+            _raise_if_disconnected(request)
             now = anyio.current_time()
             state.record_attempt()
             _log_attempt_started(
@@ -298,8 +298,8 @@
         return budget
 
 
-def _raise_if_abandoned(request):
-    if request.is_abandoned:
+def _raise_if_disconnected(request):
+    if request.is_disconnected():
         raise RequestCancelled("client disconnected")
 
 
--- a/turmericrudder/http_protocol.py
+++ b/turmericrudder/http_protocol.py
@@ -39,8 +39,8 @@
 
     The application may have the attribute ``limits``, a
     :class:`~turmericrudder.steering.ClientLimits` or ``None``; without it, there are
-    default limits. The scope gets ``raw_target``, the request target, and
-    ``head_bytes``, the size of the head.
+    default limits. The scope gets ``raw_target``, the request target, ``head_bytes``,
+    the size of the head, and ``is_disconnected``, :meth:`is_disconnected`.
     """
 
     _head_timer = None
@@ -96,6 +96,7 @@
         self._stop_head_timer()
         super().on_headers_complete()
         # The request cycle refers to this scope, and its task has not started yet.
+        self.scope["is_disconnected"] = self.is_disconnected
         self.scope["raw_target"] = self.url
         self.scope["head_bytes"] = len(self.url) + sum(
             len(name) + len(value) + 4 for name, value in self.headers
@@ -118,6 +119,13 @@
     def _get_limits(self):
         return getattr(self.app, "limits", None) or DEFAULT_LIMITS
 
+    def is_disconnected(self):
+        """Return whether the client has closed the connection.
+
+        The application is told of that later, after events that came before.
+        """
+        return self.parser is None or self.transport.is_closing()
+
     def _is_between_requests(self):
         return self.cycle is None or (
             self.cycle.response_complete and not self.cycle.more_body
