--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -16,7 +16,6 @@
     EndpointCatalog,
     LoadBoard,
     LoadCollector,
-    LoadSample,
     NoTarget,
     ServerLoad,
     WeightPlanner,
@@ -252,9 +251,7 @@
     def _exchange_loads(self, instance):
         for report in instance.collector.take():
             self._board.record(report, self.now)
-            self._planner.record(
-                LoadSample(report.target_id, report.utilization_sum, report.count)
-            )
+            self._planner.record(report)
         if not self._has_exchange:
             return
         for report in self._board.get_since(instance.exchanged_at, self.now):
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -13,7 +13,6 @@
     EndpointCatalog,
     LoadBoard,
     LoadCollector,
-    LoadSample,
     ServerLoad,
     TargetReport,
     TargetWeights,
@@ -36,7 +35,9 @@
     weights = {}
     for second in range(seconds):
         for name in GROUP:
-            planner.record(LoadSample(name, 5 * get_utilization(name), 5))
+            planner.record(
+                TargetReport(name, 0, 1.0, 0.0, 5 * get_utilization(name), 5)
+            )
         weights = planner.plan([GROUP], start + second)
     return weights
 
--- a/turmericrudder/gateway/load_exchange.py
+++ b/turmericrudder/gateway/load_exchange.py
@@ -11,7 +11,7 @@
 
 from ..errors import PeerUnreachable
 from ..events import catalogue
-from ..steering import LoadBoard, LoadSample, TargetReport, WeightPlanner
+from ..steering import LoadBoard, TargetReport, WeightPlanner
 from ..units import MS_PER_SECOND
 
 __all__ = ["LoadExchange", "LoadSummary", "LoadUpdate"]
@@ -205,9 +205,7 @@
 
     def _record(self, report, now):
         self._board.record(report, now)
-        self._planner.record(
-            LoadSample(report.target_id, report.utilization_sum, report.count)
-        )
+        self._planner.record(report)
 
     def _apply_report(self, report):
         target = self._catalog.get_target(report.target_id)
--- a/turmericrudder/steering/__init__.py
+++ b/turmericrudder/steering/__init__.py
@@ -24,7 +24,7 @@
 from .server_load import ServerLoad
 from .target_weights import TargetWeights
 from .tracked_target import TrackedTarget
-from .weight_planner import LoadSample, WeightPlanner
+from .weight_planner import WeightPlanner
 from .weighted_round_robin import SmoothWeightedRoundRobin
 from .windowed_retry_budget import WindowedRetryBudget
 
@@ -37,7 +37,6 @@
     "GatewayMember",
     "LoadBoard",
     "LoadCollector",
-    "LoadSample",
     "NoTarget",
     "NoTargetReason",
     "RequestKind",
--- a/turmericrudder/steering/weight_planner.py
+++ b/turmericrudder/steering/weight_planner.py
@@ -10,9 +10,9 @@
 """
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-__all__ = ["LoadSample", "WeightPlanner"]
+__all__ = ["WeightPlanner"]
 
 AVERAGING_TIME = 2.0  # seconds; time constant of the average of a target's load
 # Load in relation to slots that a target may have, whatever that of the others.
@@ -31,27 +31,13 @@
 MIN_CHANGE = 0.02  # of a weight; smaller changes are not made
 
 
-@dataclass(frozen=True, slots=True)
-class LoadSample:
-    """Load reports that an instance received from one target since its last sample.
-
-    :param utilization_sum: sum of the reports' active and queued requests, divided by
-        the slots.
-    :param count: number of reports.
-    """
-
-    target_id: str
-    utilization_sum: float
-    count: int
-
-
 @dataclass(slots=True)
 class _TargetState:
     utilization_sum: float = 0.0
     count: int = 0
     utilization: float | None = None
     weight: float = 1.0
-    held_until: float = field(default=-math.inf)
+    held_until: float = -math.inf
 
 
 class WeightPlanner:
@@ -63,11 +49,11 @@
         self._states = {}  # target id -> _TargetState
         self._planned_at = None
 
-    def record(self, sample):
-        """Count a :class:`LoadSample` of any instance."""
-        state = self._states.setdefault(sample.target_id, _TargetState())
-        state.utilization_sum += sample.utilization_sum
-        state.count += sample.count
+    def record(self, report):
+        """Count the :class:`TargetReport` of any instance."""
+        state = self._states.setdefault(report.target_id, _TargetState())
+        state.utilization_sum += report.utilization_sum
+        state.count += report.count
 
     def adopt(self, weights, now):
         """Continue from the weights of another planner.
