--- a/turmericrudder/http_protocol.py
+++ b/turmericrudder/http_protocol.py
@@ -138,7 +138,6 @@
 
     def _start_head_timer(self, limits):
         self._is_in_head = True
-        self._head_bytes = 0
         self._head_timer = self.loop.call_later(
             limits.header_timeout, self._reject, _HEAD_TIMEOUT_RESPONSE
         )
