--- a/tests/test_crossed_responses.py
+++ b/tests/test_crossed_responses.py
@@ -1,6 +1,7 @@
 """A server that sends its response a second time."""
 
 import contextlib
+from functools import partial
 from types import SimpleNamespace
 
 import anyio
@@ -53,6 +54,20 @@
     await listener.aclose()
 
 
+async def send_first_twice(delay, stream, number, request):
+    """Respond to a request; to the first one twice.
+
+    :param delay: seconds until the second copy, 0 to send both at once.
+    """
+    if number == 1 and not delay:
+        await stream.send(2 * make_response(number))
+        return
+    await stream.send(make_response(number))
+    if number == 1:
+        await anyio.sleep(delay)
+        await stream.send(make_response(number))
+
+
 async def read(pool, target):
     connection = await pool.acquire(target, must_be_fresh=False)
     response = await connection.send_request("GET", b"/", [], None, 1.0, 1.0)
@@ -66,17 +81,8 @@
 @pytest.mark.anyio
 @pytest.mark.parametrize("delay", [0.0, 0.05], ids=["same packet", "idle connection"])
 async def test_second_copy_reaches_no_other_request(delay):
-    async def respond(stream, number, request):
-        if number == 1 and not delay:
-            await stream.send(2 * make_response(number))
-            return
-        await stream.send(make_response(number))
-        if number == 1:
-            await anyio.sleep(delay)
-            await stream.send(make_response(number))
-
     pool = TargetConnectionPool()
-    async with serve_target(respond) as target:
+    async with serve_target(partial(send_first_twice, delay)) as target:
         assert await read(pool, target) == b"response 1"
         await anyio.sleep(2 * delay)
         assert await read(pool, target) == b"response 2"
@@ -129,15 +135,7 @@
 async def test_second_copy_reaches_no_other_call_of_a_client(delay):
     """The calls to the store and to instances share pools of connections."""
 
-    async def respond(stream, number, request):
-        if number == 1 and not delay:
-            await stream.send(2 * make_response(number))
-            return
-        await stream.send(make_response(number))
-        if number == 1:
-            await anyio.sleep(delay)
-            await stream.send(make_response(number))
-
+    respond = partial(send_first_twice, delay)
     async with serve_target(respond) as target, httpcore.AsyncConnectionPool() as pool:
         for number in (1, 2):
             response = await send_bounded(
