Export the revision in use, the version in force and the watch as metrics

The three hypotheses on the late configuration could not be told apart by logs or metrics: the revision up to which an instance knows all changes (old if the watch is lost or nobody watches, current if changes are held back), whether it takes itself for the reader, and for how long its watch has been open.

The values are read in the event loop, and only the text is made in a thread.

--- a/tests/test_gateway_store_sync.py
+++ b/tests/test_gateway_store_sync.py
@@ -166,3 +166,21 @@
     ):
         assert failure_event in names_written
         assert recovery_event in names_written[names_written.index(failure_event) :]
+
+
+@pytest.mark.anyio
+async def test_metrics_show_the_revision_in_use_and_the_watch(rig):
+    async def is_watching():
+        return await rig.get_metric(0, "watch_seconds") > 0
+
+    await wait_for(is_watching, APPLY_TIMEOUT)
+    assert await rig.get_metric(0, "store_reader") == 1
+    assert await rig.get_metric(0, "configuration_version") >= 1
+    revision = await rig.get_metric(0, "store_revision")
+    await rig.put({"servers/t9": make_registration(9)})
+
+    async def is_newer():
+        return await rig.get_metric(0, "store_revision") == revision + 1
+
+    await wait_for(is_newer, APPLY_TIMEOUT)
+    await rig.put({"servers/t9": None})
--- a/turmericrudder/gateway/auxiliary_applications.py
+++ b/turmericrudder/gateway/auxiliary_applications.py
@@ -86,6 +86,9 @@
         """Return (status, content type, body)."""
         if path != "/metrics":
             return 404, b"text/plain", b""
+        instance = self._instance
         # In a thread, because the first call loads a library.
-        text = await anyio.to_thread.run_sync(self._instance.format_metrics)
+        text = await anyio.to_thread.run_sync(
+            instance.metrics.format, instance.get_gauges()
+        )
         return 200, b"text/plain; version=0.0.4", text.encode()
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -155,17 +155,20 @@
             selector = self._backend_selectors[key] = SmoothWeightedRoundRobin()
         return selector
 
-    def format_metrics(self):
-        """Return all metrics in the Prometheus text format."""
-        gauges = {
+    def get_gauges(self):
+        """Return the metrics that are not counted, as {name: current value}."""
+        return {
             "targets": len(self.cached_state.catalog),
             "members": len(self.members),
             "store_calls": self.store.call_count,
+            "store_reader": int(self.members.is_reader()),
+            "store_revision": self.store_sync.change_log.revision,
+            "watch_seconds": self.store_sync.get_watch_duration(),
+            "configuration_version": self.cached_state.version or 0,
             "connections_opened": self.connection_pool.opened_count,
             "load_exchanges": self.load_exchange.exchange_count,
             "lowered_weights": len(self.load_exchange.get_weights()),
         }
-        return self.metrics.format(gauges)
 
     async def run(self):
         """Serve until SIGTERM, then shut down gracefully.
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -65,6 +65,7 @@
         "_revisions",
         "_store",
         "_unreachable_since",
+        "_watch_began_at",
         "_withheld",
         "change_log",
     )
@@ -85,6 +86,7 @@
         self._recovered_at = None
         self._last_contact_at = None
         self._peer_valid_until = 0.0
+        self._watch_began_at = None
         self.change_log = ChangeLog()
 
     async def run(self):
@@ -106,6 +108,12 @@
             return None
         return anyio.current_time() - self._last_contact_at
 
+    def get_watch_duration(self):
+        """Return the seconds for which the current watch has waited, 0 without one."""
+        if self._watch_began_at is None:
+            return 0.0
+        return anyio.current_time() - self._watch_began_at
+
     def apply_withheld_deletions(self):
         """Apply the withheld deletions once the grace period is over."""
         if self._is_in_grace_period():
@@ -143,7 +151,11 @@
 
     async def _watch_changes(self):
         after = self.change_log.revision
-        response = await self._store.watch(ALL_KEYS_PREFIX, after, WATCH_TIMEOUT)
+        self._watch_began_at = anyio.current_time()
+        try:
+            response = await self._store.watch(ALL_KEYS_PREFIX, after, WATCH_TIMEOUT)
+        finally:
+            self._watch_began_at = None
         self._record_reachable()
         for event in response.events:
             self._apply_event(event)
