Add a failing test: a watch lost in a silent outage delays later changes

A change that is written just before the store falls silent has the next watch sent into the outage. The store never answers it, and the gateway waits 17 s for it, while its renewals succeed again. A change 1.5 s after the outage is then not in force 2.5 s later (TimeoutError in wait_for).

The stand-in's store knew outages only as 503, which also woke waiting watches; it can now be silent. Tests listed in KNOWN-RED.txt are expected to fail, strictly.

--- a/standins/asgi.py
+++ b/standins/asgi.py
@@ -12,6 +12,7 @@
     "read_body",
     "send_response",
     "serve",
+    "wait_disconnected",
 ]
 
 
@@ -67,6 +68,11 @@
 
 async def cancel_on_disconnect(receive, scope):
     """Cancel a scope once the client of a request has closed its connection."""
+    await wait_disconnected(receive)
+    scope.cancel()
+
+
+async def wait_disconnected(receive):
+    """Wait until the client of a request has closed its connection."""
     while (await receive())["type"] != "http.disconnect":
         continue
-    scope.cancel()
--- a/standins/store.py
+++ b/standins/store.py
@@ -13,7 +13,7 @@
 from turmericrudder.routing import TokenBucket
 from turmericrudder.units import MS_PER_SECOND
 
-from .asgi import read_body, send_response
+from .asgi import read_body, send_response, wait_disconnected
 
 __all__ = ["StoreApplication"]
 
@@ -33,12 +33,15 @@
     :param lose_answers: number of next transactions that take effect although they
         are answered with 503.
     :param forget: watches are answered with 410, as after a compaction.
+    :param silent: calls that arrive are never answered, and watches that wait already
+        are answered only afterwards.
     """
 
     outage: bool = False
     delay: float = 0.0
     lose_answers: int = 0
     forget: bool = False
+    silent: bool = False
 
 
 class _Condition(msgspec.Struct):
@@ -97,6 +100,9 @@
             return
         self._counts[path.rsplit("/", 1)[-1]] += 1
         await anyio.sleep(self._fault.delay)
+        if self._fault.silent:
+            await wait_disconnected(receive)
+            return
         if self._fault.outage:
             await send_response(send, 503)
             return
@@ -174,6 +180,8 @@
                 if self._fault.outage or self._fault.forget:
                     break
                 await self._changed.wait()
+        while self._fault.silent:
+            await self._changed.wait()
         if self._fault.outage:
             await send_response(send, 503)
         elif self._fault.forget or after + 1 < self._oldest_revision:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,22 @@
 """Fixtures that several test modules use."""
 
+import re
+from pathlib import Path
+
 import pytest
 
 from .platform_rig import Rig
 
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def pytest_collection_modifyitems(items):
+    """Expect exactly the tests that are listed as red to fail."""
+    listed = set(re.findall(r"tests/\S+\.py::\S+", KNOWN_RED.read_text()))
+    for item in items:
+        if item.nodeid in listed:
+            item.add_marker(pytest.mark.xfail(reason="known red", strict=True))
+
 
 @pytest.fixture(scope="module")
 def anyio_backend():
--- a/tests/test_gateway_store_sync.py
+++ b/tests/test_gateway_store_sync.py
@@ -15,6 +15,9 @@
 APPLY_TIMEOUT = 2.5  # seconds until a change of the store is in force
 
 
+STABLE_WINDOW = 4.0  # seconds after an outage within which changes may come later
+
+
 DRAIN_TIMEOUT = 2.5  # seconds until a draining target gets no new requests
 
 
@@ -184,3 +187,24 @@
 
     await wait_for(is_newer, APPLY_TIMEOUT)
     await rig.put({"servers/t9": None})
+
+
+@pytest.mark.anyio
+async def test_watch_lost_in_a_silent_outage_delays_no_change(rig):
+    """The change made before the outage has the next watch sent into it."""
+    await rig.put({"servers/t9": make_registration(9)})
+    await anyio.sleep(0.05)
+    await rig.set_fault(silent=True)
+    await anyio.sleep(1.0)
+    await rig.set_fault()
+    await anyio.sleep(STABLE_WINDOW - APPLY_TIMEOUT)
+    await rig.put({"op/evacuate/a1": {}, "servers/t9": None})
+
+    async def is_evacuated():
+        return (await rig.send_request()).status == 503
+
+    try:
+        await wait_for(is_evacuated, APPLY_TIMEOUT)
+    finally:
+        await rig.put({"op/evacuate/a1": None})
+        await anyio.sleep(APPLY_TIMEOUT + COLD_START)
