Notice a watch that the store never answers within three seconds

After a silent outage of the store, all instances of one region kept their old state for up to 17 s.

Cause: the region's reader sends a watch into the outage. The store loses it but keeps the connection, so neither a reset nor a keep-alive probe shows it, and the client waited for 15 + 2 s. The reader's renewals, on another connection, succeeded again; their responses counted as contact with the store, so the instance that follows the reader did not watch the store itself either.

In the test the metrics show it: watch_seconds 4.9, store_revision behind the store's, store_reader 1.

A watch now waits 1 s, so that a lost one fails after 3 s, less than the window after an outage in which changes may come later, and is repeated at once. A reader whose watch is late reports no contact, so that its followers watch the store themselves.

test_watch_lost_in_a_silent_outage_delays_no_change failed before (TimeoutError), as did test_instance_whose_watch_is_lost_reports_no_contact_to_peers. A follower's test counted no watch at all in 1.5 s; the reader now makes up to two, so it checks that the follower waits for none at any of 15 moments and that the number is that of one instance.

--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -21,13 +21,16 @@
 __all__ = ["StoreSync"]
 
 ALL_KEYS_PREFIX = ""  # one watch covers all keys
-WATCH_TIMEOUT = 15.0  # seconds; long, since every watch call is billed
-RETRY_DELAY = 0.5  # seconds between calls while the store is unreachable
+# Seconds. The store may lose a watch without closing its connection, which only the
+# call's timeout shows; changes after an outage must not wait for it.
+WATCH_TIMEOUT = 1.0
+RETRY_DELAY = 0.5  # seconds from a failed call to the next
 PEER_POLL_DELAY = 0.25  # seconds from a poll without a fresh update to the next
 PEER_POLL_TIMEOUT = 0.7  # seconds that a peer waits for a change before it responds
 # The reader of a region calls the store at least twice a second. If the store's last
 # response to it is older than this, it may be unable to reach the store, and the
-# instances that poll it watch the store themselves before a change is overdue.
+# instances that poll it watch the store themselves before a change is overdue. A watch
+# whose response is late by more than this may be lost.
 MAX_CONTACT_AGE = 0.9  # seconds
 # Seconds for which a peer's update stands in for a watch of the store; covers the
 # wait and the timeout margin of the next poll.
@@ -102,10 +105,13 @@
     def get_store_contact_age(self):
         """Return the seconds since the store last responded to this instance.
 
-        :returns: ``None`` if it has not yet, or if this instance follows a peer.
+        :returns: ``None`` if it has not yet, if this instance follows a peer, or if
+            its watch may be lost, whatever the store's responses to other calls.
         """
         if self._last_contact_at is None or not self._must_watch_store():
             return None
+        if self.get_watch_duration() > WATCH_TIMEOUT + MAX_CONTACT_AGE:
+            return None
         return anyio.current_time() - self._last_contact_at
 
     def get_watch_duration(self):
@@ -126,6 +132,7 @@
             if not self._must_watch_store():
                 await anyio.sleep(ROLE_CHECK_INTERVAL)
                 continue
+            began_at = anyio.current_time()
             try:
                 if self._is_synced:
                     await self._watch_changes()
@@ -135,7 +142,7 @@
                 self._is_synced = False
             except StoreError as exc:
                 self._record_unreachable(exc)
-                await anyio.sleep(RETRY_DELAY)
+                await anyio.sleep_until(began_at + RETRY_DELAY)
 
     def _must_watch_store(self):
         if not self._is_synced or self._cached_state.members.is_reader():
