Withhold deletions after an outage that a waiting watch survives

In a silent outage the waiting watch fails late or not at all. A watch that the store answers after its return brought the deletions of all entries whose lease had lapsed meanwhile, and they were applied at once, though their owners rewrite them within two seconds: requests got 503 until then.

--- a/tests/test_gateway_store_sync.py
+++ b/tests/test_gateway_store_sync.py
@@ -17,6 +17,9 @@
 APPLY_TIMEOUT = 2.5  # seconds until a change of the store is in force
 
 
+SILENCE = 2.2  # seconds; a watch that began within a second before is answered after it
+
+
 STABLE_WINDOW = 4.0  # seconds after an outage within which changes may come later
 
 
@@ -221,6 +224,27 @@
         await anyio.sleep(APPLY_TIMEOUT)
 
 
+@pytest.mark.anyio
+async def test_targets_that_lapsed_in_a_silent_outage_stay_in_use(rig):
+    """Their entries are removed meanwhile and rewritten after it."""
+    await rig.set_fault(silent=True)
+    names = ["servers/t0", "servers/t1"]
+    await rig.put(dict.fromkeys(names))
+    await anyio.sleep(SILENCE)
+    await rig.set_fault()
+    statuses = []
+    for _ in range(10):
+        statuses.append((await rig.send_request()).status)
+        await anyio.sleep(0.1)
+    await rig.put(
+        {
+            name: make_registration(rig.get_target_port(number), seq=70 + number)
+            for number, name in enumerate(names)
+        }
+    )
+    assert statuses == [200] * 10
+
+
 async def _lose_watch(rig):
     """Leave the instance with a watch that the store, back again, never answers.
 
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -110,7 +110,7 @@
         """
         if self._last_contact_at is None or not self._must_watch_store():
             return None
-        if self.get_watch_duration() > WATCH_TIMEOUT + MAX_CONTACT_AGE:
+        if _is_overdue(self.get_watch_duration()):
             return None
         return anyio.current_time() - self._last_contact_at
 
@@ -141,7 +141,7 @@
             except HistoryCompacted:
                 self._is_synced = False
             except StoreError as exc:
-                self._record_unreachable(exc)
+                self._record_unreachable(exc, began_at)
                 await anyio.sleep_until(began_at + RETRY_DELAY)
 
     def _must_watch_store(self):
@@ -161,8 +161,11 @@
         self._watch_began_at = anyio.current_time()
         try:
             response = await self._store.watch(ALL_KEYS_PREFIX, after, WATCH_TIMEOUT)
+            duration = self.get_watch_duration()
         finally:
             self._watch_began_at = None
+        if _is_overdue(duration):
+            self._recovered_at = anyio.current_time()
         self._record_reachable()
         for event in response.events:
             self._apply_event(event)
@@ -291,9 +294,12 @@
             and anyio.current_time() < recovered_at + REREGISTRATION_GRACE
         )
 
-    def _record_unreachable(self, exc):
+    def _record_unreachable(self, exc, began_at):
+        """Record a failed call, which shows when the outage began if it is overdue."""
         if self._unreachable_since is None:
-            self._unreachable_since = anyio.current_time()
+            now = anyio.current_time()
+            is_overdue = _is_overdue(now - began_at)
+            self._unreachable_since = began_at if is_overdue else now
             self._log.write(catalogue.STORE_UNREACHABLE, error=str(exc))
 
     def _record_reachable(self):
@@ -307,3 +313,8 @@
             catalogue.STORE_REACHABLE, away_s=round(now - self._unreachable_since, 3)
         )
         self._unreachable_since = None
+
+
+def _is_overdue(duration):
+    """Return whether a call of this duration, even a watch, is late."""
+    return duration > WATCH_TIMEOUT + MAX_CONTACT_AGE
