Watch the head for five seconds at most in the entry daemon

Same cause as the late configuration of the gateway: a watch that the store loses without closing its connection was waited for 22 s, longer than the 10 s in which a change has to be in force. With 5 s it fails after 7 s.

--- a/turmericrudder/settings/timing.py
+++ b/turmericrudder/settings/timing.py
@@ -24,7 +24,8 @@
     :param report: period in which load reports of targets and the platform's list
         of instances are read.
     :param store_poll: accepted and not used.
-    :param store_watch: longest duration of one watch of the store.
+    :param store_watch: longest duration of one watch of the store. A change may be as
+        late as that and two seconds if the store loses the watch.
     :param drain_limit: longest time for in-flight requests to end at a stop.
     """
 
@@ -37,7 +38,7 @@
     mark_timeout: float = 0.5
     report: float = 1.0
     store_poll: float = 5.0
-    store_watch: float = 20.0
+    store_watch: float = 5.0
     drain_limit: float = 600.0
 
     @classmethod
