--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -104,7 +104,10 @@
     :param left_after: seconds after which its client disconnects.
     """
     catalog, balancer = make_balancer(*map(make_endpoint, targets))
-    forwarder = Forwarder(SETTINGS, catalog, balancer, pool, ["here"], LoadCollector())
+    log = SimpleNamespace(write=lambda *_, **__: None)
+    forwarder = Forwarder(
+        SETTINGS, catalog, balancer, pool, ["here"], LoadCollector(), log
+    )
     forwarder._retry_budgets["s"] = budget or CountingBudget(9)
     now = anyio.current_time()
     expires = now + route.timeout
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -9,10 +10,19 @@
     Backend,
     SmoothWeightedRoundRobin,
     WindowedRetryBudget,
+    parse_rate_limit,
 )
 from turmericrudder.steering.cold_rate_limiter import ColdRateLimiter
 
 
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [("7.5", 7.5), ("0", 0.0), ("-1", None), ("nan", None), ("inf", None), ("", None)],
+)
+def test_rate_limit_is_a_finite_number_of_zero_or_more(text, limit):
+    assert parse_rate_limit(text) == limit
+
+
 @given(st.lists(st.integers(0, 40), min_size=1, max_size=5))
 def test_round_robin_is_exact_over_the_sum_of_weights(weights):
     backends = tuple(Backend(f"s{n}", float(w)) for n, w in enumerate(weights))
--- a/turmericrudder/events/catalogue.py
+++ b/turmericrudder/events/catalogue.py
@@ -230,6 +230,16 @@
     "weights of overloaded targets were changed; whole affinity keys move",
 )
 
+TARGET_LIMITED = Event(
+    611,
+    "target_limited",
+    INFO,
+    "target names a limit on the requests a second that it takes from all instances",
+)
+TARGET_UNLIMITED = Event(
+    612, "target_unlimited", INFO, "target no longer names a limit on its requests"
+)
+
 LOOKUP_ANSWERED = Event(
     701, "lookup_answered", DEBUG, "look-up returned a list of entry instances"
 )
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -17,6 +17,7 @@
     WindowedRetryBudget,
     can_hedge,
     get_hedge_delay,
+    parse_rate_limit,
 )
 from ..units import MS_PER_SECOND
 from .hedging import run_hedged
@@ -43,6 +44,7 @@
     :param members: the live instances, which share the retry budget's fixed extra.
     :param load_collector: a :class:`~turmericrudder.steering.LoadCollector` for the
         targets' load reports.
+    :param log: for the events of targets; those of a request are in its buffer.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "_catalog",
         "_connection_pool",
         "_load_collector",
+        "_log",
         "_members",
         "_retry_budgets",
         "_settings",
@@ -58,7 +61,7 @@
     )
 
     def __init__(
-        self, settings, catalog, balancer, connection_pool, members, load_collector
+        self, settings, catalog, balancer, connection_pool, members, load_collector, log
     ):
         self._settings = settings
         self._catalog = catalog
@@ -66,6 +69,7 @@
         self._connection_pool = connection_pool
         self._members = members
         self._load_collector = load_collector
+        self._log = log
         self._retry_budgets = {}
         self._started_at = anyio.current_time()
         self._attempt_numbers = itertools.count(1)
@@ -207,6 +211,7 @@
         await connection.send_request(head, body, request.attempt_id, is_head)
         headers = dict(connection.headers)
         self._record_load_report(target, headers)
+        self._record_rate_limit(target, headers)
         not_executed_reason = _get_not_executed_reason(connection.status, headers)
         if not_executed_reason:
             await connection.read_all(HIGH_WATERMARK_BYTES)
@@ -241,6 +246,17 @@
             target.record_load_report(load, now)
             self._load_collector.record(target.endpoint.id, load, now)
 
+    def _record_rate_limit(self, target, headers):
+        text = headers.get(protocol.SERVER_LIMIT_HEADER)
+        limit = parse_rate_limit(text.decode("latin-1")) if text is not None else None
+        if limit is not None and target.rate_limit is None:
+            self._log.write(
+                catalogue.TARGET_LIMITED, target=target.endpoint.id, limit=limit
+            )
+        elif limit is None and target.rate_limit is not None:
+            self._log.write(catalogue.TARGET_UNLIMITED, target=target.endpoint.id)
+        target.rate_limit = limit
+
     def _record_response(self, request, target, connection, latency, selection, now):
         """Record a complete response with the target and the route's estimator.
 
@@ -317,6 +333,7 @@
         object_age=selection.service_time_key,
         occupancy=round(target.get_load(now), 1),
         load_age_ms=target.get_load_age_ms(now),
+        limit=target.rate_limit,
         left_ms=round((request.expires - now) * MS_PER_SECOND),
         new_connection=is_new,
         beside_first=is_hedge,
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -98,6 +98,7 @@
             self.connection_pool,
             self.members,
             load_collector,
+            self.log,
         )
         peer_client = PeerClient()
         self.load_exchange = LoadExchange(
@@ -165,6 +166,7 @@
             "store_revision": self.store_sync.change_log.revision,
             "watch_seconds": self.store_sync.get_watch_duration(),
             "configuration_version": self.cached_state.version or 0,
+            "limited_targets": self.cached_state.catalog.count_limited(),
             "connections_opened": self.connection_pool.opened_count,
             "load_exchanges": self.load_exchange.exchange_count,
             "lowered_weights": len(self.load_exchange.get_weights()),
--- a/turmericrudder/platform/protocol.py
+++ b/turmericrudder/platform/protocol.py
@@ -14,6 +14,7 @@
     "READINESS_PATH",
     "RESOLVE_PATH",
     "RESPONSE_SIGNATURE_HEADER",
+    "SERVER_LIMIT_HEADER",
     "SERVER_LOAD_HEADER",
     "STORE_KEY_PATH",
     "STORE_LEASE_PATH",
@@ -38,6 +39,8 @@
 EXPECTED_INSTANCE_HEADER = b"x-expect-instance"
 # Load report in the response of a target.
 SERVER_LOAD_HEADER = b"x-server-load"
+# Requests per second that a target in need takes from all instances together.
+SERVER_LIMIT_HEADER = b"server-limit"
 # Set by a target that did not run the request.
 NOT_EXECUTED_HEADER = b"x-not-executed"
 # Id of the target that responds.
--- a/turmericrudder/steering/__init__.py
+++ b/turmericrudder/steering/__init__.py
@@ -11,6 +11,7 @@
 from .hedging import can_hedge, get_hedge_delay
 from .load_board import LoadBoard
 from .load_collector import LoadCollector, TargetReport
+from .rate_limit import parse_rate_limit
 from .route import (
     Backend,
     ClientLimits,
@@ -56,4 +57,5 @@
     "can_hedge",
     "choose_entry_instances",
     "get_hedge_delay",
+    "parse_rate_limit",
 ]
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -64,6 +64,10 @@
         """
         return self._by_service.get(service, ())
 
+    def count_limited(self):
+        """Return the number of targets that have named a limit on their requests."""
+        return sum(target.rate_limit is not None for target in self._targets.values())
+
     def is_usable(self, target):
         """Return whether a target may get new requests.
 
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -28,6 +28,8 @@
     :ivar ejected_until: time until which the target is ejected.
     :ivar is_removed: whether the registration was removed or replaced, or a response
         with status 421 showed that another target has the address.
+    :ivar rate_limit: requests per second that the target takes from all instances
+        together, as it named in its last response; ``None`` if it named no limit.
     :ivar round_trip: seconds that the last connection took to open, ``None`` before
         the first.
     :ivar mean_service_time: moving average in seconds at normal speed, ``None``
@@ -50,6 +52,7 @@
         "endpoint",
         "is_removed",
         "mean_service_time",
+        "rate_limit",
         "recent_keys",
         "revision",
         "round_trip",
@@ -62,6 +65,7 @@
         self.cold_until = 0.0
         self.ejected_until = 0.0
         self.is_removed = False
+        self.rate_limit = None
         self.round_trip = None
         self.mean_service_time = None
         self.recent_keys = RecentKeys()
