--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -255,7 +255,7 @@
             )
         elif limit is None and target.rate_limit is not None:
             self._log.write(catalogue.TARGET_UNLIMITED, target=target.endpoint.id)
-        target.rate_limit = limit
+        target.record_rate_limit(limit, anyio.current_time())
 
     def _record_response(self, request, target, connection, latency, selection, now):
         """Record a complete response with the target and the route's estimator.
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -172,6 +172,10 @@
         self._load_reported_at = self._slowdown_at = report.reported_at
         self._slowdown = report.slowdown
 
+    def record_rate_limit(self, limit, now):
+        """Set the limit that the target named in a response, ``None`` without one."""
+        self.rate_limit = limit
+
     def record_response(self, service_time, now):
         """Count a request that the target executed.
 
