Keep the request limit that a target names, by a fixed part for each instance

Class of the fault: a bound that one party states and that only all senders together can keep, with no sender that knows the others' requests. Each instance takes a part of the limit that follows from the members alone: as many instances as the target takes requests in a second, those of its region before others, by capacity. A bucket of one request or one second's worth bounds their sum in any four seconds to six times the limit and a few requests, also if all buckets are full. A limit that no response confirms is forgotten, the later the more instances there are.

test_target_gets_no_more_than_its_limit_from_all_instances failed before in its four cases, up to 78 instances.

--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -107,7 +107,7 @@
         target.end_request(number)
         target.record_response(SERVICE_TIME, now)
         limit = self.limits.get(target_id)
-        target.record_rate_limit(limit, now)
+        target.rate_limiter.record_limit(limit, len(self.instances), now)
         if limit is not None:
             self.told.setdefault((target_id, instance.name), now)
 
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -249,13 +249,14 @@
     def _record_rate_limit(self, target, headers):
         text = headers.get(protocol.SERVER_LIMIT_HEADER)
         limit = parse_rate_limit(text.decode("latin-1")) if text is not None else None
-        if limit is not None and target.rate_limit is None:
+        limiter = target.rate_limiter
+        if limit is not None and limiter.limit is None:
             self._log.write(
                 catalogue.TARGET_LIMITED, target=target.endpoint.id, limit=limit
             )
-        elif limit is None and target.rate_limit is not None:
+        elif limit is None and limiter.limit is not None:
             self._log.write(catalogue.TARGET_UNLIMITED, target=target.endpoint.id)
-        target.record_rate_limit(limit, anyio.current_time())
+        limiter.record_limit(limit, len(self._members), anyio.current_time())
 
     def _record_response(self, request, target, connection, latency, selection, now):
         """Record a complete response with the target and the route's estimator.
@@ -333,7 +334,7 @@
         object_age=selection.service_time_key,
         occupancy=round(target.get_load(now), 1),
         load_age_ms=target.get_load_age_ms(now),
-        limit=target.rate_limit,
+        limit=target.rate_limiter.limit,
         left_ms=round((request.expires - now) * MS_PER_SECOND),
         new_connection=is_new,
         beside_first=is_hedge,
--- a/turmericrudder/gateway/members.py
+++ b/turmericrudder/gateway/members.py
@@ -7,6 +7,9 @@
 
 # Rendezvous key by which the members of a region choose the one that watches the store.
 STORE_READER_KEY = "store reader"
+# Weight of an instance in another region than the target in the division of the
+# target's request rate; most requests come from the target's region.
+REMOTE_RATE_WEIGHT = 0.1
 
 
 class Members:
@@ -18,6 +21,7 @@
     :ivar instance_counts: (members in this instance's failure domain, failure domains
         of its region with members, failure domains of all regions with members).
     :ivar region_size: number of members in this instance's region.
+    :ivar revision: number of changes so far.
     """
 
     __slots__ = (
@@ -29,6 +33,7 @@
         "_settings",
         "instance_counts",
         "region_size",
+        "revision",
     )
 
     def __init__(self, settings, own_member):
@@ -41,6 +46,7 @@
         self._own_member = own_member
         self._is_stopping = False
         self._others = {}
+        self.revision = 0
         self._update_derived()
 
     def __len__(self):
@@ -104,12 +110,41 @@
         ranked = rank_names(endpoint.id, [member.name for member in candidates])
         return bool(ranked) and ranked[0] == self._own_member.name
 
+    def get_rate_share(self, endpoint, sender_count):
+        """Return this instance's share of the request rate that a target accepts.
+
+        The target's rate is divided among members chosen for it, those of its region
+        before others, in proportion to their capacity.
+
+        :param sender_count: number of members that send to the target at most.
+        :returns: 0 to 1; 0 if this instance is not among them.
+        """
+        region = self._settings.regions.get(endpoint.failure_domain)
+        members = {member.name: member for member in self._members}
+        # While this instance stops, it still sends the requests it has accepted.
+        members.setdefault(self._own_member.name, self._own_member)
+        weights = {
+            name: member.capacity
+            * (1.0 if member.region == region else REMOTE_RATE_WEIGHT)
+            for name, member in members.items()
+        }
+        ranked = sorted(
+            rank_names(endpoint.id, members),
+            key=lambda name: members[name].region != region,
+        )
+        senders = ranked[:sender_count]
+        if self._own_member.name not in senders:
+            return 0.0
+        total = sum(weights[name] for name in senders)
+        return weights[self._own_member.name] / total
+
     def choose_entry_instances(self, failure_domain, region, random):
         """Return the members that a client in a failure domain should connect to."""
         return choose_entry_instances(self._members, failure_domain, region, random)
 
     def _update_derived(self):
         """Compute the values needed for each request, since members rarely change."""
+        self.revision += 1
         others = [m for m in self._others.values() if m.name != self._own_member.name]
         members = others if self._is_stopping else [*others, self._own_member]
         self._members = tuple(members)
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -46,6 +46,9 @@
 MAX_RANK = 5  # rank from which the cost no longer increases
 LATENCY_SPREAD = 0.25  # fraction of the expected latency by which latencies vary
 COLD_SLOWDOWN = 2.0  # assumed for a cold target: just started, with empty caches
+COLD_RETRY_AFTER = 1.0  # seconds, for a request that only cold targets could take
+# Seconds; a target may also end its limit before this instance may send to it again.
+MAX_LIMITED_RETRY_AFTER = 2.0
 # Fraction of the extra service time for a key that a target has not handled, added
 # to the cost of a target outside the affinity region.
 REGION_MISMATCH_WEIGHT = 0.5
@@ -75,8 +78,9 @@
 
     :param members: has ``instance_counts`` (instances in this one's failure domain,
         failure domains of its region that have instances, all failure domains that
-        have instances) and ``may_send_to_cold(endpoint)``, which returns whether
-        this instance is the one that sends to a target while it is cold.
+        have instances), ``may_send_to_cold(endpoint)``, which returns whether this
+        instance is the one that sends to a target while it is cold, and what
+        :class:`TargetRateLimiter` needs.
     :param random: a ``random.Random``.
     :ivar weights: the :class:`~turmericrudder.steering.TargetWeights`.
     """
@@ -166,6 +170,7 @@
         target = selection.target
         if target.is_cold(now):
             target.cold_limiter.record_request(now)
+        target.rate_limiter.record_request(now)
         if request.affinity_key is not None:
             target.recent_keys.record((request.route.name, request.affinity_key))
         if not request.attempted_ids:
@@ -251,9 +256,22 @@
             if self._can_take_request(target, now):
                 candidates.append(target)
         if not local and not remote:
-            return NoTarget(NoTargetReason.ALL_COLD, 1.0)
+            return self._make_no_target([target for target, _ in reachable], now)
         return None
 
+    def _make_no_target(self, targets, now):
+        """Return :class:`NoTarget` for targets none of which can take a request now."""
+        wait = min(
+            target.rate_limiter.get_wait(target.endpoint, self._members, now)
+            or COLD_RETRY_AFTER
+            for target in targets
+        )
+        if any(target.rate_limiter.limit is not None for target in targets):
+            return NoTarget(
+                NoTargetReason.ALL_LIMITED, min(wait, MAX_LIMITED_RETRY_AFTER)
+            )
+        return NoTarget(NoTargetReason.ALL_COLD, COLD_RETRY_AFTER)
+
     def _get_cheapest_of_all(self, request, service_targets, order, best, now):
         """Return the cheapest of all targets if some in the region have free slots.
 
@@ -283,7 +301,9 @@
         return self._catalog.is_usable(target)
 
     def _can_take_request(self, target, now):
-        """Return whether a target is not cold, or this instance may send to it now."""
+        """Return whether the limits on a target's request rate allow one more now."""
+        if target.rate_limiter.get_wait(target.endpoint, self._members, now) > 0.0:
+            return False
         if not target.is_cold(now):
             return True
         profile = self._catalog.get_profile(target.endpoint.service)
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -66,7 +66,9 @@
 
     def count_limited(self):
         """Return the number of targets that have named a limit on their requests."""
-        return sum(target.rate_limit is not None for target in self._targets.values())
+        return sum(
+            target.rate_limiter.limit is not None for target in self._targets.values()
+        )
 
     def is_usable(self, target):
         """Return whether a target may get new requests.
--- a/turmericrudder/steering/selection.py
+++ b/turmericrudder/steering/selection.py
@@ -17,12 +17,15 @@
       regions or were attempted already.
     - ``ALL_COLD``: the remaining targets are cold, and this instance may not send them
       more requests now.
+    - ``ALL_LIMITED``: some of the remaining targets have named a limit on their request
+      rate, and this instance's part of it is used up; others are cold.
     - ``TOO_LATE``: the response is expected after the request's deadline.
     """
 
     NONE_REGISTERED = "none_registered"
     NONE_ALLOWED = "none_allowed"
     ALL_COLD = "all_cold"
+    ALL_LIMITED = "all_limited"
     TOO_LATE = "too_late"
 
 
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -3,6 +3,7 @@
 from ..units import MS_PER_SECOND
 from .cold_rate_limiter import ColdRateLimiter
 from .recent_keys import RecentKeys
+from .target_rate_limiter import TargetRateLimiter
 
 __all__ = ["TrackedTarget"]
 
@@ -28,8 +29,8 @@
     :ivar ejected_until: time until which the target is ejected.
     :ivar is_removed: whether the registration was removed or replaced, or a response
         with status 421 showed that another target has the address.
-    :ivar rate_limit: requests per second that the target takes from all instances
-        together, as it named in its last response; ``None`` if it named no limit.
+    :ivar rate_limiter: the :class:`TargetRateLimiter`, for the limit that the target
+        named in its last response.
     :ivar round_trip: seconds that the last connection took to open, ``None`` before
         the first.
     :ivar mean_service_time: moving average in seconds at normal speed, ``None``
@@ -52,7 +53,7 @@
         "endpoint",
         "is_removed",
         "mean_service_time",
-        "rate_limit",
+        "rate_limiter",
         "recent_keys",
         "revision",
         "round_trip",
@@ -65,7 +66,7 @@
         self.cold_until = 0.0
         self.ejected_until = 0.0
         self.is_removed = False
-        self.rate_limit = None
+        self.rate_limiter = TargetRateLimiter()
         self.round_trip = None
         self.mean_service_time = None
         self.recent_keys = RecentKeys()
@@ -172,10 +173,6 @@
         self._load_reported_at = self._slowdown_at = report.reported_at
         self._slowdown = report.slowdown
 
-    def record_rate_limit(self, limit, now):
-        """Set the limit that the target named in a response, ``None`` without one."""
-        self.rate_limit = limit
-
     def record_response(self, service_time, now):
         """Count a request that the target executed.
 
