Send one request when a target's limit expires, not all

An instance that is not among a target's senders, or has sent nothing to it for a while, forgot the limit and took the target for one without: with the others overloaded, it sent all it had until the first response named the limit again.

Cause: an expired belief was replaced by its opposite, which nothing supported. Now the limit stays, and one request is sent in each interval to learn whether it still holds; the intervals of all instances together use a tenth of the limit. Their random part comes from the balancer's generator, so that tests repeat.

--- a/tests/steering_makers.py
+++ b/tests/steering_makers.py
@@ -33,6 +33,25 @@
 )
 
 
+class SingleMember:
+    """The members as one instance without others knows them."""
+
+    revision = 1
+
+    def __init__(self, instance_counts, may_send_to_cold):
+        self.instance_counts = instance_counts
+        self._may_send_to_cold = may_send_to_cold
+
+    def __len__(self):
+        return 1
+
+    def may_send_to_cold(self, endpoint):
+        return self._may_send_to_cold
+
+    def get_rate_share(self, endpoint, sender_count):
+        return 1.0
+
+
 PROFILE = ServiceProfile("s", "/health", 50, 3.0, 7.3)
 
 
@@ -72,9 +91,7 @@
     catalog.has_synced = has_synced
     for number, endpoint in enumerate(endpoints):
         catalog.put(endpoint, number + 1, 0.0)
-    members = SimpleNamespace(
-        instance_counts=instance_counts, may_send_to_cold=lambda _: may_send_to_cold
-    )
+    members = SingleMember(instance_counts, may_send_to_cold)
     balancer = Balancer(SETTINGS, catalog, members, random.Random(1))
     return catalog, balancer
 
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -16,6 +16,7 @@
     GatewayMember,
     NoTarget,
 )
+from turmericrudder.steering.target_rate_limiter import TargetRateLimiter
 
 from .steering_makers import (
     BOUNDS,
@@ -107,7 +108,7 @@
         target.end_request(number)
         target.record_response(SERVICE_TIME, now)
         limit = self.limits.get(target_id)
-        target.rate_limiter.record_limit(limit, len(self.instances), now)
+        instance.balancer.record_limit(target, limit, now)
         if limit is not None:
             self.told.setdefault((target_id, instance.name), now)
 
@@ -162,3 +163,20 @@
     assert fleet.get_excesses() == []
     # The limits are used, not only kept: half of what they allow in the last 8 s.
     assert fleet.count_limited(12.0) >= 0.5 * limit * len(limits) * 8.0
+
+
+def test_expired_limit_lets_one_request_through_and_no_burst():
+    limiter = TargetRateLimiter()
+    # Only other instances send to the target.
+    members = SimpleNamespace(revision=1, get_rate_share=lambda endpoint, count: 0.0)
+    instances, limit, duration = 7, 2.0, 120
+    limiter.record_limit(limit, instances, 0.0, random.Random(1))
+    sent_times = []
+    for tick in range(duration * 100):
+        now = tick * 0.01
+        while len(sent_times) < 100 and limiter.get_wait(None, members, now) == 0.0:
+            limiter.record_request(now)
+            sent_times.append(now)
+    # All instances together may use a tenth of the limit to see whether it still holds.
+    assert 1 <= len(sent_times) <= 1 + 0.1 * limit * duration / instances
+    assert len(sent_times) == len(set(sent_times))
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -256,7 +256,7 @@
             )
         elif limit is None and limiter.limit is not None:
             self._log.write(catalogue.TARGET_UNLIMITED, target=target.endpoint.id)
-        limiter.record_limit(limit, len(self._members), anyio.current_time())
+        self._balancer.record_limit(target, limit, anyio.current_time())
 
     def _record_response(self, request, target, connection, latency, selection, now):
         """Record a complete response with the target and the route's estimator.
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -179,6 +179,13 @@
             )
         self._shift_limiter.record_request(selection.is_remote, now)
 
+    def record_limit(self, target, limit, now):
+        """Set the limit on its request rate that a target named in a response.
+
+        :param limit: requests per second for all instances, ``None`` without a limit.
+        """
+        target.rate_limiter.record_limit(limit, len(self._members), now, self._random)
+
     def _get_service_targets(self, request):
         source = self._catalog.get_targets(request.service)
         home_regions = request.route.home_regions
--- a/turmericrudder/steering/target_rate_limiter.py
+++ b/turmericrudder/steering/target_rate_limiter.py
@@ -5,7 +5,6 @@
 """
 
 import math
-import random
 
 __all__ = ["TargetRateLimiter"]
 
@@ -15,10 +14,11 @@
 # has a request for it.
 MIN_SENDERS = 3
 BURST_SECONDS = 1.0  # part of the rate that may be saved for later, in seconds of it
-# Seconds after which a limit that no response confirms is forgotten.
-MIN_TTL = 10.0
-# Fraction of the limit that instances which forgot it may send together.
-FORGOTTEN_FRACTION = 0.1
+# Seconds without a response after which one request is sent to learn whether the target
+# still has the limit.
+MIN_PROBE_INTERVAL = 10.0
+# Fraction of the limit that all instances may use for such requests.
+PROBE_FRACTION = 0.1
 
 
 class TargetRateLimiter:
@@ -31,9 +31,10 @@
     """
 
     __slots__ = (
-        "_expires",
         "_filled_at",
         "_members_revision",
+        "_probe_at",
+        "_probe_interval",
         "_rate",
         "_tokens",
         "limit",
@@ -41,17 +42,19 @@
 
     def __init__(self):
         self.limit = None
-        self._expires = math.inf
         self._members_revision = None
+        self._probe_at = math.inf
+        self._probe_interval = MIN_PROBE_INTERVAL
         self._rate = 0.0
         self._tokens = 0.0
         self._filled_at = 0.0
 
-    def record_limit(self, limit, member_count, now):
+    def record_limit(self, limit, member_count, now, random):
         """Set the limit that the target named in a response, ``None`` without one.
 
         :param member_count: number of live instances.
         :param now: monotonic time of the response.
+        :param random: a ``random.Random``; it spreads the instances' probes.
         """
         if limit != self.limit:
             if self.limit is None:
@@ -59,8 +62,11 @@
             self.limit = limit
             self._members_revision = None
         if limit is not None:
-            ttl = member_count / (FORGOTTEN_FRACTION * max(MIN_LIMIT, limit))
-            self._expires = now + max(MIN_TTL, ttl) * (1.0 + random.random())
+            interval = member_count / (PROBE_FRACTION * max(MIN_LIMIT, limit))
+            self._probe_interval = max(MIN_PROBE_INTERVAL, interval) * (
+                1.0 + random.random()
+            )
+            self._probe_at = now + self._probe_interval
 
     def get_wait(self, endpoint, members, now):
         """Return the seconds until one more request may be sent, 0 if it may now.
@@ -72,8 +78,7 @@
         """
         if self.limit is None:
             return 0.0
-        if now >= self._expires:
-            self.limit = None
+        if now >= self._probe_at:
             return 0.0
         self._refill(now)
         if self._members_revision != members.revision:
@@ -91,6 +96,8 @@
         if self.limit is not None:
             self._refill(now)
             self._tokens -= 1.0
+            if now >= self._probe_at:
+                self._probe_at = now + self._probe_interval
 
     def _refill(self, now):
         added = (now - self._filled_at) * self._rate
