Save the part of a target's limit from the time it is named

The first request after the naming of a limit was always rejected or sent elsewhere: the time until then was counted at the rate of 0 that stood before the part was computed. An instance with few requests for a target lost every first one after a change of the limit or of the members.

The part is computed before the bucket is refilled. test_part_of_the_limit_is_saved_from_the_time_it_is_named failed before.

--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -180,3 +180,13 @@
     # All instances together may use a tenth of the limit to see whether it still holds.
     assert 1 <= len(sent_times) <= 1 + 0.1 * limit * duration / instances
     assert len(sent_times) == len(set(sent_times))
+
+
+def test_part_of_the_limit_is_saved_from_the_time_it_is_named():
+    limiter = TargetRateLimiter()
+    members = SimpleNamespace(revision=1, get_rate_share=lambda endpoint, count: 0.5)
+    limiter.record_limit(2.0, 7, 0.0, random.Random(1))
+    assert limiter.get_wait(None, members, 0.4) == pytest.approx(0.6)
+    limiter = TargetRateLimiter()
+    limiter.record_limit(2.0, 7, 0.0, random.Random(1))
+    assert limiter.get_wait(None, members, 1.5) == 0.0
--- a/turmericrudder/steering/target_rate_limiter.py
+++ b/turmericrudder/steering/target_rate_limiter.py
@@ -80,13 +80,13 @@
             return 0.0
         if now >= self._probe_at:
             return 0.0
-        self._refill(now)
         if self._members_revision != members.revision:
             self._members_revision = members.revision
             limit = max(MIN_LIMIT, self.limit)
             self._rate = limit * members.get_rate_share(
                 endpoint, max(MIN_SENDERS, int(limit))
             )
+        self._refill(now)
         if self._tokens >= 1.0:
             return 0.0
         return (1.0 - self._tokens) / self._rate if self._rate > 0.0 else math.inf
