Keep a target's limit when a response names a malformed one

A response whose Server-Limit could not be parsed counted as one without it and lifted the limit on this instance, which then sent without one until the next response. Only a response without the header lifts it now.

test_malformed_limit_does_not_lift_the_one_in_force failed before in the case of 100 followed by malformed texts; its other cases show that the forwarder reads the header.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -34,9 +34,11 @@
 
     requests_sent = 0
 
-    def __init__(self, step):
+    def __init__(self, step, limit=None):
         self.delay, self.status = step
         self.headers = SIGNED
+        if limit is not None:
+            self.headers = [*SIGNED, (b"server-limit", limit)]
         self.is_closed = self.is_sent = False
 
     async def send_request(self, head, body, attempt_id, is_head):
@@ -59,10 +61,13 @@
 
     A step is a pair as for :class:`ScriptedConnection`, or ``"refused"`` or
     ``"connecting"`` for a connection that is refused or not established in time.
+
+    :param limits: what the responses name as the target's limit, in order.
     """
 
-    def __init__(self, *steps):
+    def __init__(self, *steps, limits=()):
         self.steps = list(steps)
+        self._limits = list(limits)
         self.connections = []
         self.targets = []
 
@@ -73,7 +78,8 @@
             raise ConnectFailed("refused")
         if step == "connecting":
             await anyio.sleep(SLOW)
-        self.connections.append(ScriptedConnection(step))
+        limit = self._limits.pop(0) if self._limits else None
+        self.connections.append(ScriptedConnection(step, limit))
         return self.connections[-1]
 
     def release(self, target, connection, max_idle):
@@ -98,17 +104,28 @@
         return self.retries <= self._remaining
 
 
-async def forward(pool, *, targets=("t",), route=ROUTE, budget=None, left_after=None):
-    """Return the final response to a request.
-
-    :param left_after: seconds after which its client disconnects.
-    """
+def make_forwarder(pool, targets=("t",), budget=None):
+    """Return a catalog of targets and a :class:`Forwarder` that uses them."""
     catalog, balancer = make_balancer(*map(make_endpoint, targets))
     log = SimpleNamespace(write=lambda *_, **__: None)
     forwarder = Forwarder(
         SETTINGS, catalog, balancer, pool, ["here"], LoadCollector(), log
     )
     forwarder._retry_budgets["s"] = budget or CountingBudget(9)
+    return catalog, forwarder
+
+
+async def forward(pool, *, targets=("t",), route=ROUTE, budget=None, left_after=None):
+    """Return the final response to a request.
+
+    :param left_after: seconds after which its client disconnects.
+    """
+    _, forwarder = make_forwarder(pool, targets, budget)
+    return await send_request(forwarder, route, left_after)
+
+
+async def send_request(forwarder, route=ROUTE, left_after=None):
+    """Return the final response of a forwarder to a request."""
     now = anyio.current_time()
     expires = now + route.timeout
     log_buffer = SimpleNamespace(append=lambda *_, **__: None)
@@ -230,3 +247,23 @@
     pool = ScriptedPool((4 * FAST, 200))
     response = await forward(pool, route=WRITE_ROUTE, left_after=FAST)
     assert isinstance(response, CompleteResponse)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("texts", "limit"),
+    [
+        ((b"100",), 100.0),
+        ((b"100", None), None),
+        ((b"100", b"many", b"-1", b"nan"), 100.0),
+        ((b"many",), None),
+    ],
+)
+async def test_malformed_limit_does_not_lift_the_one_in_force(texts, limit):
+    pool = ScriptedPool(*[(FAST, 200) for _ in texts], limits=texts)
+    catalog, forwarder = make_forwarder(pool)
+    for _ in texts:
+        await send_request(forwarder)
+        await anyio.sleep(0.02)  # until the limit allows one more
+    assert not pool.steps
+    assert catalog.get_target("t").rate_limiter.limit == limit
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -247,8 +247,11 @@
             self._load_collector.record(target.endpoint.id, load, now)
 
     def _record_rate_limit(self, target, headers):
+        """Set or lift the target's limit; a malformed one changes nothing."""
         text = headers.get(protocol.SERVER_LIMIT_HEADER)
         limit = parse_rate_limit(text.decode("latin-1")) if text is not None else None
+        if text is not None and limit is None:
+            return
         limiter = target.rate_limiter
         if limit is not None and limiter.limit is None:
             self._log.write(
--- a/turmericrudder/steering/rate_limit.py
+++ b/turmericrudder/steering/rate_limit.py
@@ -8,8 +8,7 @@
 def parse_rate_limit(text):
     """Return the requests per second from the text of a response's header.
 
-    :returns: ``None`` if the text is malformed; a target that cannot name its limit has
-        none, so this is no error.
+    :returns: ``None`` if the text is malformed.
     """
     try:
         limit = float(text)
