Cut no request at the end of the grace time that came late in it

Reported by an operator of a similar system: in a planned stop, requests that came late in the grace time were taken and passed on, then cut with no answer. Here requests were rejected after 0.45 of the grace time by the time of their head alone. One whose body took longer was sent to a target at any time until the end and then cut; so was a second attempt after a refusal. Whatever was still in flight at the end, a body that was not complete among it, got a 500 of the HTTP library.

The check is repeated when the body is complete; no attempt starts whose response is expected after the stop; at the end, what is in flight gets 504, and 503 if nothing was sent to a target.

The rig of the tests ends its gateway if the start fails: such an orphan held the ports of later runs and answered in their place.

--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -61,6 +61,7 @@
                         make_route(),
                         make_route("r2", "/write/", "non_idempotent"),
                         make_route("r3", "/slow/", timeout_ms=300),
+                        make_route("r4", "/long/", "non_idempotent", timeout_ms=9000),
                     ],
                 ),
                 **{
@@ -72,7 +73,13 @@
             }
         )
         self.start()
-        await self.wait_ready()
+        try:
+            await self.wait_ready()
+        except BaseException:
+            # Otherwise the process would keep the ports of later runs.
+            self.process.kill()
+            self.process.wait()
+            raise
         return self
 
     async def __aexit__(self, *exc):
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,5 +1,6 @@
 """Attempts and hedges of one request, with a scripted connection pool."""
 
+import math
 from types import SimpleNamespace
 
 import anyio
@@ -267,3 +268,14 @@
         await anyio.sleep(0.02)  # until the limit allows one more
     assert not pool.steps
     assert catalog.get_target("t").rate_limiter.limit == limit
+
+
+@pytest.mark.anyio
+async def test_no_attempt_starts_that_would_be_cut_at_the_end_of_a_shutdown():
+    pool = ScriptedPool((FAST, 503), (FAST, 200))
+    _, forwarder = make_forwarder(pool, targets=("t", "u"))
+    forwarder.stops_at = anyio.current_time() + FAST
+    response = await send_request(forwarder, WRITE_ROUTE)
+    assert (response.status, pool.targets) == (503, [])
+    forwarder.stops_at = math.inf
+    assert (await send_request(forwarder, WRITE_ROUTE)).status == 200
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -8,7 +8,7 @@
 import httpcore
 import pytest
 
-from standins.gateway import start_gateway
+from standins.gateway import SHUTDOWN_GRACE, start_gateway
 from turmericrudder.headers import get_header
 
 from .platform_documents import HOST
@@ -59,6 +59,46 @@
     assert rig.process.returncode == 0
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("rest", [b"dy", b""], ids=["late body", "incomplete body"])
+async def test_request_not_complete_late_in_the_grace_time_is_rejected(tmp_path, rest):
+    async with Rig(28200, tmp_path, service_time=1.0) as rig:
+        rig.stop()
+        await anyio.sleep(0.4 * SHUTDOWN_GRACE)
+        stream = await anyio.connect_tcp(HOST, rig.get_port(1))
+        async with stream:
+            await stream.send(
+                b"POST /long/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: late\r\n"
+                b"Content-Length: 4\r\n\r\nbo"
+            )
+            await anyio.sleep(0.35 * SHUTDOWN_GRACE)
+            await stream.send(rest)
+            with anyio.fail_after(SHUTDOWN_GRACE):
+                response = await stream.receive()
+        assert response.startswith(b"HTTP/1.1 503 ")
+        assert rig.get_runs() == []
+
+
+@pytest.mark.anyio
+async def test_request_in_flight_at_the_end_of_the_grace_time_gets_a_timeout(tmp_path):
+    async with Rig(28300, tmp_path, targets=1) as rig:
+        rig.targets[0].service_time = 9.0
+        responses = []
+
+        async def send():
+            responses.append(
+                await rig.send_request("/long/x", "POST", deadline_ms=9000)
+            )
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.3)
+            rig.stop()
+            await anyio.sleep(SHUTDOWN_GRACE)
+        assert [response.status for response in responses] == [504]
+        assert rig.process.poll() == 0
+
+
 @pytest.mark.anyio
 async def test_sighup_is_ignored_and_sigterm_exits_during_the_start(tmp_path):
     """The settings file is a named pipe, so that the start blocks on reading it."""
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -15,6 +15,9 @@
 __all__ = ["ClientApplication"]
 
 CONFIGURATION_TIMEOUT = 0.4  # seconds a request waits for the first configuration
+# Seconds until a client may retry a request that a stopping instance rejects; others
+# are there.
+STOPPING_RETRY_AFTER = 0.05
 
 # A client, this instance and a target could each use another one of several values.
 _SINGLE_HEADERS = frozenset(
@@ -64,10 +67,14 @@
         now = anyio.current_time()
         request = self._parse_request(scope, now, writer.log_buffer)
         writer.request = request
-        if instance.is_rejecting_requests():
-            raise RequestRejected(503, "stopping", retry_after=0.05)
+        self._check_admission()
         reader = BodyReader(scope, receive, instance.cached_state.limits)
-        await reader.read(request)
+        with instance.forwarder.scopes.open() as body_scope:
+            await reader.read(request)
+        if body_scope.cancelled_caught:
+            raise _make_stopping_rejection()
+        # The body may have taken until the instance no longer has time for the request.
+        self._check_admission()
         # A busy process may find the request and its client's disconnect together.
         await anyio.lowlevel.checkpoint()
         forward = instance.forwarder.forward(request)
@@ -86,6 +93,10 @@
                     reader.wait_disconnected, writer.write_streaming(response)
                 )
 
+    def _check_admission(self):
+        if self._instance.is_rejecting_requests():
+            raise _make_stopping_rejection()
+
     def _parse_request(self, scope, now, log_buffer):
         instance = self._instance
         route_table = instance.cached_state.route_table
@@ -132,6 +143,10 @@
         )
 
 
+def _make_stopping_rejection():
+    return RequestRejected(503, "stopping", retry_after=STOPPING_RETRY_AFTER)
+
+
 def _check_headers(headers):
     """Raise :exc:`RequestRejected` for headers whose meaning is not certain."""
     seen = set()
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Forwarding of a client's request to targets, with retries and hedged attempts."""
 
 import itertools
+import math
 from functools import partial
 
 import anyio
@@ -28,6 +29,7 @@
     ResponseFailure,
     StreamingResponse,
 )
+from .request_scopes import RequestScopes
 from .retry_state import RetryState
 from .upstream_connection import HIGH_WATERMARK_BYTES
 
@@ -45,6 +47,9 @@
     :param load_collector: a :class:`~turmericrudder.steering.LoadCollector` for the
         targets' load reports.
     :param log: for the events of targets; those of a request are in its buffer.
+    :ivar scopes: :class:`RequestScopes` of the requests in flight.
+    :ivar stops_at: monotonic time from which this instance may cancel them; no attempt
+        starts whose response is expected later.
     """
 
     __slots__ = (
@@ -58,6 +63,8 @@
         "_retry_budgets",
         "_settings",
         "_started_at",
+        "scopes",
+        "stops_at",
     )
 
     def __init__(
@@ -73,17 +80,20 @@
         self._retry_budgets = {}
         self._started_at = anyio.current_time()
         self._attempt_numbers = itertools.count(1)
+        self.scopes = RequestScopes()
+        self.stops_at = math.inf
 
     async def forward(self, request):
         """Return the final response to a request.
 
-        Attempts still in flight at ``request.expires`` are cancelled.
+        Attempts still in flight at ``request.expires``, or when this instance stops,
+        are cancelled.
 
         :returns: a :class:`CompleteResponse`, :class:`StreamingResponse` or
             :class:`LocalResponse`.
         """
         state = RetryState(request)
-        with anyio.move_on_at(request.expires):
+        with self.scopes.open(request.expires):
             return await self._run_attempts(state)
         return state.make_timeout_response()
 
@@ -152,7 +162,7 @@
             route=request.route,
             affinity_key=request.affinity_key,
             arrived_at=request.arrived_at,
-            expires=request.expires,
+            expires=min(request.expires, self.stops_at),
             attempted_ids=frozenset(state.attempted_ids),
             in_flight_target_id=in_flight_target_id,
             may_use_untried_target=in_flight_target_id is None
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -46,6 +46,7 @@
 # last was accepted, and its upper limit in seconds.
 FIRST_REQUEST_FRACTION = 0.1
 MAX_FIRST_REQUEST_TIMEOUT = 0.3
+FINAL_WRITE_TIME = 0.02  # seconds for the responses to requests cut by the end
 # Seconds without a request after which a stopping instance may stop early.
 QUIET_PERIOD = 1.0
 
@@ -132,7 +133,7 @@
         return not self.is_shutting_down and self.cached_state.route_table is not None
 
     def is_rejecting_requests(self):
-        """Return whether new requests are rejected; call once for each request.
+        """Return whether requests that were not sent to a target yet are rejected.
 
         The time of the call counts as that of the last request.
         """
@@ -236,11 +237,12 @@
         with anyio.move_on_after(1.0):
             await self.registration.deregister()
         grace = self.settings.bounds.grace
+        self.forwarder.stops_at = shutdown_began + STOP_FRACTION * grace
         # Clients connect here until their cached directory response expires.
         earliest_stop = shutdown_began + min(
             self.settings.bounds.lookup_ttl, ADMISSION_FRACTION * grace
         )
-        while anyio.current_time() < shutdown_began + STOP_FRACTION * grace:
+        while anyio.current_time() < self.forwarder.stops_at:
             now = anyio.current_time()
             is_idle = now - self._last_request_at > QUIET_PERIOD
             if (
@@ -255,9 +257,10 @@
         await self.client_listener.wait_for_first_requests(
             min(MAX_FIRST_REQUEST_TIMEOUT, FIRST_REQUEST_FRACTION * grace)
         )
+        self.forwarder.scopes.cancel_all()
         for listener in self._listeners:
             listener.close()
-        await anyio.sleep(0.02)
+        await anyio.sleep(FINAL_WRITE_TIME)
         self.log.write(
             catalogue.INSTANCE_STOPPED, open=self.client_listener.in_flight_requests
         )
