--- a/tests/test_crossed_responses.py
+++ b/tests/test_crossed_responses.py
@@ -12,6 +12,7 @@
 from turmericrudder.configuration import RequestClass
 from turmericrudder.forwarding.headers import ATTEMPT_HEADER
 from turmericrudder.forwarding.response import Response
+from turmericrudder.forwarding.step import NotRun
 from turmericrudder.forwarding.target_attempt import TargetAttempt
 from turmericrudder.forwarding.target_connection_pool import TargetConnectionPool
 from turmericrudder.http_client import send_bounded
@@ -102,27 +103,8 @@
         await stream.send(make_response(number, attempt_ids[0]))
 
     pool = TargetConnectionPool()
-    released = []
-    dispatcher = SimpleNamespace(send=released.append)
     async with serve_target(respond) as target:
-        attempts = []
-        for _ in range(2):
-            grant = SimpleNamespace(
-                state=SimpleNamespace(
-                    target=target,
-                    service=SimpleNamespace(
-                        name="s", shed_status=429, drain_status=503, status_path=""
-                    ),
-                )
-            )
-            attempt = TargetAttempt(grant, make_request(), dispatcher, pool)
-            await attempt.run(1000)
-            if attempt.response is not None:
-                assert [chunk async for chunk in attempt.response.iter_chunks()]
-                await attempt.response.aclose()
-                attempt.mark_complete()
-            await attempt.aclose()
-            attempts.append(attempt)
+        attempts = [await run_attempt(target, pool) for _ in range(2)]
         assert len(set(attempt_ids)) == 2
         assert attempts[0].response is not None
         assert attempts[1].response is None
@@ -130,6 +112,29 @@
         await pool.aclose()
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("delay", [0.0, 0.05, 0.15], ids=["at once", "idle", "in use"])
+async def test_refusal_written_once_more_makes_no_other_attempt_not_run(delay):
+    refusal = b"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n"
+
+    async def respond(stream, number, request):
+        if number == 1:
+            await stream.send(refusal if delay else 2 * refusal)
+            await anyio.sleep(delay)
+            await stream.send(refusal)
+        else:
+            await anyio.sleep(0.1)
+            await stream.send(make_response(number))
+
+    pool = TargetConnectionPool()
+    async with serve_target(respond) as target:
+        refused = await run_attempt(target, pool)
+        assert refused.failure == NotRun("shed", is_shed=True)
+        await anyio.sleep(0.1)
+        assert (await run_attempt(target, pool)).response is not None
+        await pool.aclose()
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("delay", [0.0, 0.05], ids=["same packet", "idle connection"])
 async def test_second_copy_reaches_no_other_call_of_a_client(delay):
@@ -145,6 +150,23 @@
             await anyio.sleep(2 * delay)
 
 
+async def run_attempt(target, pool):
+    """Run an attempt, read the response and return the attempt."""
+    service = SimpleNamespace(
+        name="s", shed_status=429, drain_status=503, status_path=""
+    )
+    grant = SimpleNamespace(state=SimpleNamespace(target=target, service=service))
+    dispatcher = SimpleNamespace(send=lambda _: None)
+    attempt = TargetAttempt(grant, make_request(), dispatcher, pool)
+    await attempt.run(1000)
+    if attempt.response is not None:
+        assert [chunk async for chunk in attempt.response.iter_chunks()]
+        await attempt.response.aclose()
+        attempt.mark_complete()
+    await attempt.aclose()
+    return attempt
+
+
 def make_request():
     expires = anyio.current_time() + 9
     return SimpleNamespace(
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -88,6 +88,29 @@
         assert not connection.is_reusable()
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "attempt_id", [b"X-Attempt-Id: a\r\n", b""], ids=["id", "none"]
+)
+async def test_refusal_written_once_more_is_not_the_response_to_the_next_request(
+    attempt_id,
+):
+    refusal = b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n"
+    first, copy = refusal % b"X-Attempt-Id: a\r\n", refusal % attempt_id
+    async with serve(first, copy + make_response(b"two", b"b")) as connection:
+        await send_and_read(connection)
+        assert connection.status == 503
+        # The target runs the second request: any result but a refusal is true.
+        with contextlib.suppress(ResponseFailed):
+            assert await send_and_read(connection, b"b") == b"two"
+            assert connection.status == 200
+        assert not connection.is_reusable()
+    async with serve(first, (copy,)) as connection:
+        await send_and_read(connection)
+        with pytest.raises(ResponseFailed):
+            await send_and_read(connection, b"b")
+
+
 @pytest.mark.anyio
 async def test_excess_response_makes_the_connection_unusable():
     async with serve(make_response(b"one") + make_response(b"more")) as connection:
