--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -20,6 +20,7 @@
 import math
 from dataclasses import dataclass
 
+from .candidate_finder import CandidateFinder
 from .region_shift_limiter import RegionShiftLimiter
 from .remote_share_planner import RegionCapacity, RemoteSharePlanner
 from .selection import NoTarget, NoTargetReason, Selection
@@ -46,9 +47,6 @@
 MAX_RANK = 5  # rank from which the cost no longer increases
 LATENCY_SPREAD = 0.25  # fraction of the expected latency by which latencies vary
 COLD_SLOWDOWN = 2.0  # assumed for a cold target: just started, with empty caches
-COLD_RETRY_AFTER = 1.0  # seconds, for a request that only cold targets could take
-# Seconds; a target may also end its limit before this instance may send to it again.
-MAX_LIMITED_RETRY_AFTER = 2.0
 # Fraction of the extra service time for a key that a target has not handled, added
 # to the cost of a target outside the affinity region.
 REGION_MISMATCH_WEIGHT = 0.5
@@ -86,6 +84,7 @@
     """
 
     __slots__ = (
+        "_candidates",
         "_catalog",
         "_estimators",
         "_members",
@@ -102,6 +101,7 @@
         self._catalog = catalog
         self._members = members
         self._random = random
+        self._candidates = CandidateFinder(settings, catalog, members, random)
         self._estimators = {}  # route name -> ServiceTimeEstimator
         self._planners = {}  # service -> RemoteSharePlanner
         self._service_targets = {}  # (service, home regions) -> ServiceTargets
@@ -128,11 +128,11 @@
             return NoTarget(NoTargetReason.NONE_REGISTERED, request.route.objective)
         service_targets = self._get_service_targets(request)
         order = (
-            service_targets.get_order(_get_order_key(request))
+            service_targets.get_order(request.order_key)
             if request.affinity_key is not None
             else None
         )
-        local = self._get_candidates(
+        local = self._candidates.get_some(
             request,
             service_targets.local,
             order.local if order is not None else None,
@@ -140,7 +140,7 @@
             LOCAL_RANDOM,
             now,
         )
-        remote = self._get_candidates(
+        remote = self._candidates.get_some(
             request,
             service_targets.remote,
             order.remote if order is not None else None,
@@ -149,11 +149,10 @@
             now,
         )
         if not local and not remote:
-            reason = self._add_all_candidates(
-                request, service_targets, local, remote, now
-            )
-            if reason is not None:
-                return reason
+            candidates = self._candidates.get_all(request, service_targets, now)
+            if isinstance(candidates, NoTarget):
+                return candidates
+            local, remote = candidates
         best = self._get_cheapest(request, service_targets, order, local, remote, now)
         if now + best.expected_latency > request.expires:
             best = self._get_cheapest_of_all(request, service_targets, order, best, now)
@@ -208,77 +207,6 @@
             )
         return service_targets
 
-    def _get_candidates(self, request, group, order, ranked, others, now):
-        """Return the candidates of a group of targets, in the order of the key.
-
-        :param group: a :class:`TargetGroup`.
-        :param order: its first targets in the key's order, ``None`` without a key.
-        :param ranked: number of candidates from the order.
-        :param others: number of candidates that are chosen at random.
-        """
-        targets = group.targets
-        if len(targets) <= ranked + others:
-            order, others = targets if order is None else order, 0
-            ranked = len(targets)
-        elif order is None:
-            order, ranked, others = (), 0, ranked + others
-        candidates = []
-        for target in order:
-            if self._is_candidate(target, request, now):
-                candidates.append(target)
-                if len(candidates) == ranked:
-                    break
-        for _ in range(others):
-            target = targets[int(self._random.random() * len(targets))]
-            if target not in candidates and self._is_candidate(target, request, now):
-                candidates.append(target)
-        return candidates
-
-    def _add_all_candidates(self, request, service_targets, local, remote, now):
-        """Add all targets that can take a request to the empty lists of candidates.
-
-        :returns: ``None``, or :class:`NoTarget` if there are none.
-        """
-        if request.affinity_key is not None:
-            order = service_targets.get_full_order(_get_order_key(request))
-            groups = ((order.local, local), (order.remote, remote))
-        else:
-            groups = (
-                (service_targets.local.targets, local),
-                (service_targets.remote.targets, remote),
-            )
-        allowed = [
-            (target, candidates)
-            for targets, candidates in groups
-            for target in targets
-            if self._is_allowed(target, request)
-        ]
-        if not allowed:
-            return NoTarget(NoTargetReason.NONE_ALLOWED, request.route.objective)
-        # If all targets are ejected, the ejections are ignored.
-        reachable = [
-            pair for pair in allowed if now >= pair[0].ejected_until
-        ] or allowed
-        for target, candidates in reachable:
-            if self._can_take_request(target, now):
-                candidates.append(target)
-        if not local and not remote:
-            return self._make_no_target([target for target, _ in reachable], now)
-        return None
-
-    def _make_no_target(self, targets, now):
-        """Return :class:`NoTarget` for targets none of which can take a request now."""
-        wait = min(
-            target.rate_limiter.get_wait(target.endpoint, self._members, now)
-            or COLD_RETRY_AFTER
-            for target in targets
-        )
-        if any(target.rate_limiter.limit is not None for target in targets):
-            return NoTarget(
-                NoTargetReason.ALL_LIMITED, min(wait, MAX_LIMITED_RETRY_AFTER)
-            )
-        return NoTarget(NoTargetReason.ALL_COLD, COLD_RETRY_AFTER)
-
     def _get_cheapest_of_all(self, request, service_targets, order, best, now):
         """Return the cheapest of all targets if some in the region have free slots.
 
@@ -287,42 +215,9 @@
         utilization = service_targets.get_utilization(self._catalog.is_usable, now)
         if not utilization.has_free_slots:
             return best
-        local, remote = [], []
-        self._add_all_candidates(request, service_targets, local, remote, now)
+        local, remote = self._candidates.get_all(request, service_targets, now)
         return self._get_cheapest(request, service_targets, order, local, remote, now)
 
-    def _is_candidate(self, target, request, now):
-        return (
-            now >= target.ejected_until
-            and self._is_allowed(target, request)
-            and self._can_take_request(target, now)
-        )
-
-    def _is_allowed(self, target, request):
-        target_id = target.endpoint.id
-        is_allowed_untried = (
-            request.may_use_untried_target and target_id not in request.attempted_ids
-        )
-        if target_id != request.in_flight_target_id and not is_allowed_untried:
-            return False
-        return self._catalog.is_usable(target)
-
-    def _can_take_request(self, target, now):
-        """Return whether the limits on a target's request rate allow one more now."""
-        if target.rate_limiter.get_wait(target.endpoint, self._members, now) > 0.0:
-            return False
-        if not target.is_cold(now):
-            return True
-        profile = self._catalog.get_profile(target.endpoint.service)
-        if profile is None or profile.cold_rate is None:
-            return True
-        bounds = self._settings.bounds
-        return self._members.may_send_to_cold(
-            target.endpoint
-        ) and target.cold_limiter.has_capacity(
-            profile.cold_rate, bounds.cold_overage, bounds.cold_slack, now
-        )
-
     def _get_cheapest(self, request, service_targets, order, local, remote, now):
         """Return the :class:`Selection` with the least cost.
 
@@ -443,7 +338,3 @@
 
     def _is_remote(self, target):
         return self._get_region(target) != self._settings.region
-
-
-def _get_order_key(request):
-    return f"{request.route.name}/{request.affinity_key}"
--- /dev/null
+++ b/turmericrudder/steering/candidate_finder.py
@@ -0,0 +1,129 @@
+"""The targets that can take a request now."""
+
+from .selection import NoTarget, NoTargetReason
+
+__all__ = ["CandidateFinder"]
+
+COLD_RETRY_AFTER = 1.0  # seconds, for a request that only cold targets could take
+# Seconds; a target may also end its limit before this instance may send to it again.
+MAX_LIMITED_RETRY_AFTER = 2.0
+
+
+class CandidateFinder:
+    """Finds the candidates for a request among the targets of its service.
+
+    A candidate is usable, was not attempted yet, is not ejected, and its limits on the
+    request rate allow this instance one more request.
+
+    :param members: as for :class:`Balancer`.
+    :param random: a ``random.Random``.
+    """
+
+    __slots__ = ("_catalog", "_members", "_random", "_settings")
+
+    def __init__(self, settings, catalog, members, random):
+        self._settings = settings
+        self._catalog = catalog
+        self._members = members
+        self._random = random
+
+    def get_some(self, request, group, order, ranked, others, now):
+        """Return some candidates of a group of targets, in the order of the key.
+
+        :param group: a :class:`TargetGroup`.
+        :param order: its first targets in the key's order, ``None`` without a key.
+        :param ranked: number of candidates from the order.
+        :param others: number of candidates that are chosen at random.
+        """
+        targets = group.targets
+        if len(targets) <= ranked + others:
+            order, others = targets if order is None else order, 0
+            ranked = len(targets)
+        elif order is None:
+            order, ranked, others = (), 0, ranked + others
+        candidates = []
+        for target in order:
+            if self._is_candidate(target, request, now):
+                candidates.append(target)
+                if len(candidates) == ranked:
+                    break
+        for _ in range(others):
+            target = targets[int(self._random.random() * len(targets))]
+            if target not in candidates and self._is_candidate(target, request, now):
+                candidates.append(target)
+        return candidates
+
+    def get_all(self, request, service_targets, now):
+        """Return all candidates of a service, or :class:`NoTarget` without any.
+
+        :returns: lists of the local and the remote ones, in the order of the key.
+        """
+        if request.affinity_key is not None:
+            order = service_targets.get_full_order(request.order_key)
+            groups = (order.local, order.remote)
+        else:
+            groups = (service_targets.local.targets, service_targets.remote.targets)
+        allowed = [
+            [target for target in targets if self._is_allowed(target, request)]
+            for targets in groups
+        ]
+        if not any(allowed):
+            return NoTarget(NoTargetReason.NONE_ALLOWED, request.route.objective)
+        reachable = [
+            [target for target in targets if now >= target.ejected_until]
+            for targets in allowed
+        ]
+        if not any(reachable):
+            reachable = allowed  # If all targets are ejected, that is ignored.
+        local, remote = (
+            [target for target in targets if self._can_take_request(target, now)]
+            for targets in reachable
+        )
+        if not local and not remote:
+            return self._make_no_target([*reachable[0], *reachable[1]], now)
+        return local, remote
+
+    def _make_no_target(self, targets, now):
+        """Return :class:`NoTarget` for targets none of which can take a request now."""
+        wait = min(
+            target.rate_limiter.get_wait(target.endpoint, self._members, now)
+            or COLD_RETRY_AFTER
+            for target in targets
+        )
+        if any(target.rate_limiter.limit is not None for target in targets):
+            return NoTarget(
+                NoTargetReason.ALL_LIMITED, min(wait, MAX_LIMITED_RETRY_AFTER)
+            )
+        return NoTarget(NoTargetReason.ALL_COLD, COLD_RETRY_AFTER)
+
+    def _is_candidate(self, target, request, now):
+        return (
+            now >= target.ejected_until
+            and self._is_allowed(target, request)
+            and self._can_take_request(target, now)
+        )
+
+    def _is_allowed(self, target, request):
+        target_id = target.endpoint.id
+        is_allowed_untried = (
+            request.may_use_untried_target and target_id not in request.attempted_ids
+        )
+        if target_id != request.in_flight_target_id and not is_allowed_untried:
+            return False
+        return self._catalog.is_usable(target)
+
+    def _can_take_request(self, target, now):
+        """Return whether the limits on a target's request rate allow one more now."""
+        if target.rate_limiter.get_wait(target.endpoint, self._members, now) > 0.0:
+            return False
+        if not target.is_cold(now):
+            return True
+        profile = self._catalog.get_profile(target.endpoint.service)
+        if profile is None or profile.cold_rate is None:
+            return True
+        bounds = self._settings.bounds
+        return self._members.may_send_to_cold(
+            target.endpoint
+        ) and target.cold_limiter.has_capacity(
+            profile.cold_rate, bounds.cold_overage, bounds.cold_slack, now
+        )
--- a/turmericrudder/steering/selection.py
+++ b/turmericrudder/steering/selection.py
@@ -52,6 +52,11 @@
     in_flight_target_id: str | None = None
     may_use_untried_target: bool = True
 
+    @property
+    def order_key(self):
+        """The key by which targets are ordered; only with an affinity key."""
+        return f"{self.route.name}/{self.affinity_key}"
+
 
 # Not frozen: one is made for each candidate, and frozen ones take thrice the time.
 @dataclass(slots=True)
