Test the limits of targets on two gateway processes

The stand-in of a target can name a limit. Two gateways that get 50 requests a second keep the limits of both targets together, and use no limit once the targets name none.

--- a/standins/target.py
+++ b/standins/target.py
@@ -18,12 +18,15 @@
         connection is then closed without a response.
     :param status: status of the responses.
     :param unsigned: responses have no signature header.
+    :param limit: requests per second that the responses name as the most that the
+        target takes from all instances together, ``None`` for no limit.
     """
 
     shed: bool = False
     lose_answers: int = 0
     status: int = 200
     unsigned: bool = False
+    limit: float | None = None
 
 
 class TargetApplication:
@@ -95,8 +98,11 @@
 
     def _make_headers(self, attempt_id):
         load = b"%d,0,%d" % (self.in_flight, self.slots)
-        return [
+        headers = [
             (protocol.ATTEMPT_ID_HEADER, attempt_id),
             (protocol.INSTANCE_ID_HEADER, self.target_id.encode()),
             (protocol.SERVER_LOAD_HEADER, load),
         ]
+        if self.fault.limit is not None:
+            headers.append((protocol.SERVER_LIMIT_HEADER, b"%g" % self.fault.limit))
+        return headers
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -6,6 +6,7 @@
 import random
 from types import SimpleNamespace
 
+import anyio
 import pytest
 
 from turmericrudder.address import Address
@@ -18,6 +19,7 @@
 )
 from turmericrudder.steering.target_rate_limiter import TargetRateLimiter
 
+from .platform_rig import Rig, wait_for
 from .steering_makers import (
     BOUNDS,
     PROFILE,
@@ -190,3 +192,49 @@
     limiter = TargetRateLimiter()
     limiter.record_limit(2.0, 7, 0.0, random.Random(1))
     assert limiter.get_wait(None, members, 1.5) == 0.0
+
+
+@pytest.mark.anyio
+async def test_two_processes_together_keep_the_limits_of_their_targets(tmp_path):
+    limit = 4.0
+    async with Rig(28400, tmp_path) as rig:
+        process = rig.start_instance(port_offset=60)
+
+        async def know_each_other():
+            counts = [await rig.get_metric(offset, "members") for offset in (0, 60)]
+            return counts == [2, 2]
+
+        async def send(seconds):
+            """Return the statuses of 50 requests a second, at both in turn."""
+            statuses = []
+
+            async def send_one(port_offset):
+                response = await rig.send_request(port_offset=port_offset)
+                statuses.append(response.status)
+
+            async with anyio.create_task_group() as tasks:
+                for number in range(int(seconds * 50)):
+                    tasks.start_soon(send_one, 60 * (number % 2))
+                    await anyio.sleep(0.02)
+            return statuses
+
+        try:
+            await wait_for(know_each_other, 8.0)
+            for target in rig.targets:
+                target.fault.limit = limit
+            await send(1.0)
+            assert await rig.get_metric(0, "limited_targets") == len(rig.targets)
+            for target in rig.targets:
+                target.runs.clear()
+            statuses = await send(WINDOW)
+            for target in rig.targets:
+                assert limit <= len(target.runs) <= OVERAGE * limit * WINDOW + SLACK
+            assert set(statuses) == {200, 503}
+            for target in rig.targets:
+                target.fault.limit = None
+            await send(1.0)
+            assert set(await send(0.5)) == {200}
+            assert await rig.get_metric(0, "limited_targets") == 0
+        finally:
+            process.kill()
+            process.wait()
