--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -148,6 +148,25 @@
                     await anyio.sleep(0)
 
 
+@pytest.mark.anyio
+async def test_request_completed_late_in_a_shutdown_gets_its_response(cluster):
+    address = cluster.entries["delta-a-1"].listen_callers
+    timing = cluster.entries["delta-a-1"].timing
+    stream = await anyio.connect_tcp(address.host, address.port)
+    async with stream, anyio.create_task_group() as tasks:
+        await stream.send(
+            b"PUT /binvault/photos/9 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbo"
+        )
+        await anyio.sleep(0.2)
+        tasks.start_soon(cluster.stop, "delta-a-1")
+        # New requests are rejected by then.
+        await anyio.sleep(timing.lookup_ttl + timing.heartbeat + 0.5)
+        await stream.send(b"dy")
+        with anyio.fail_after(5):
+            response = await stream.receive()
+    assert response.startswith(b"HTTP/1.1 200 ")
+
+
 async def _operate(caller, key):
     """Send an operation; return its verdict, or "answered" if it got a response."""
     try:
