--- a/tests/test_platform_commands.py
+++ b/tests/test_platform_commands.py
@@ -77,7 +77,8 @@
     assert f"{HOST}:{rig.get_port(1)}" in await show(rig, "members")
     assert (await show(rig, "evacuations")).split() == ["b1"]
     configuration = msgspec.json.decode(await show(rig, "configuration", "--json"))
-    assert [route["name"] for route in configuration["routes"]] == ["r1", "r2", "r3"]
+    names = [route["name"] for route in configuration["routes"]]
+    assert names == ["r1", "r2", "r3", "r4"]
     assert "/write/" in await show(rig, "configuration")
 
 
