Let clients retry at once what a stopping instance has no time for

Since a stopping instance starts no attempt whose response is expected after its stop. It rejected such a request as too_late, with half of the expected latency as Retry-After, as if all targets were busy. Other instances have time for it at once.

test_request_rejected_for_a_shutdown_may_be_sent_to_others_at_once failed before: Retry-After 0.8 s where 0.05 s is enough. A request that no instance could answer within its own deadline is still too_late.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -11,6 +11,7 @@
 from turmericrudder.gateway.client_request import ClientRequest
 from turmericrudder.gateway.forwarder import Forwarder
 from turmericrudder.gateway.outcome import CompleteResponse, LocalResponse
+from turmericrudder.gateway.retry_state import MIN_RETRY_AFTER
 from turmericrudder.steering import LoadCollector, RequestKind
 
 from .steering_makers import SETTINGS, make_balancer, make_endpoint, make_route
@@ -279,3 +280,15 @@
     assert (response.status, pool.targets) == (503, [])
     forwarder.stops_at = math.inf
     assert (await send_request(forwarder, WRITE_ROUTE)).status == 200
+
+
+@pytest.mark.anyio
+async def test_request_rejected_for_a_shutdown_may_be_sent_to_others_at_once():
+    _, forwarder = make_forwarder(ScriptedPool())
+    forwarder.stops_at = anyio.current_time() + FAST
+    response = await send_request(forwarder, make_route(timeout=9.0, objective=4.0))
+    assert response == LocalResponse(503, "stopping", MIN_RETRY_AFTER)
+    # Its own deadline would be missed by all.
+    forwarder.stops_at = anyio.current_time() + 2 * FAST
+    response = await send_request(forwarder, make_route(timeout=FAST, objective=4.0))
+    assert (response.status, response.reason) == (503, "too_late")
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -12,6 +12,7 @@
 from ..platform import protocol
 from ..steering import (
     NoTarget,
+    NoTargetReason,
     Selection,
     SelectionRequest,
     ServerLoad,
@@ -30,7 +31,7 @@
     StreamingResponse,
 )
 from .request_scopes import RequestScopes
-from .retry_state import RetryState
+from .retry_state import MIN_RETRY_AFTER, RetryState
 from .upstream_connection import HIGH_WATERMARK_BYTES
 
 __all__ = ["Forwarder"]
@@ -106,6 +107,11 @@
             selection_request = self._make_selection_request(state)
             selection = self._balancer.choose(selection_request, now)
             match selection:
+                case NoTarget(NoTargetReason.TOO_LATE) if (
+                    self.stops_at < request.expires
+                ):
+                    # Other instances still have time for it.
+                    return state.make_failure_response("stopping", MIN_RETRY_AFTER)
                 case NoTarget(reason, retry_after):
                     return state.make_failure_response(reason.value, retry_after)
             if not state.attempted_ids:
--- a/turmericrudder/gateway/retry_state.py
+++ b/turmericrudder/gateway/retry_state.py
@@ -10,7 +10,7 @@
     is_final_response,
 )
 
-__all__ = ["RetryState"]
+__all__ = ["MIN_RETRY_AFTER", "RetryState"]
 
 MAX_CONNECT_FAILURES = 4  # failed connections after which a request is not retried
 MIN_RETRY_AFTER = 0.05  # seconds
