Accept no request late in a long grace time that the stop may cut

The users' platform allows that only for requests that came within three seconds of the signal.

After 2.7 s, a request is now accepted only if its own timeout ends before the stop. That time of the stop is known from the signal on, not only once the instance has deregistered. Nothing changes for a grace time of six seconds, 0.45 of which are 2.7 s.

test_request_that_the_stop_may_cut_is_accepted_for_three_seconds_only failed before: the request was accepted 3 s after the signal (TimeoutError).

--- a/standins/gateway.py
+++ b/standins/gateway.py
@@ -41,7 +41,14 @@
 
 
 def write_settings(
-    path, name, host, first_port, store_port, failure_domain="a1", seeds=()
+    path,
+    name,
+    host,
+    first_port,
+    store_port,
+    failure_domain="a1",
+    seeds=(),
+    grace=SHUTDOWN_GRACE,
 ):
     """Write a gateway's settings file.
 
@@ -50,6 +57,7 @@
         directory, peers, metrics.
     :param failure_domain: a key of :data:`DOMAIN_REGIONS`.
     :param seeds: peer ports of the gateways to join through.
+    :param grace: seconds from SIGTERM to SIGKILL.
     """
     ports = ("clients", "readiness", "directory", "peers", "metrics")
     path.write_text(
@@ -63,7 +71,7 @@
             regions="\n".join(
                 f"{key} = {value}" for key, value in DOMAIN_REGIONS.items()
             ),
-            grace=SHUTDOWN_GRACE,
+            grace=grace,
             **{key: first_port + offset for offset, key in enumerate(ports)},
         )
     )
--- a/tests/platform_rig.py
+++ b/tests/platform_rig.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from standins.asgi import serve
-from standins.gateway import start_gateway, write_settings
+from standins.gateway import SHUTDOWN_GRACE, start_gateway, write_settings
 from standins.store import StoreApplication
 from standins.target import TargetApplication
 from turmericrudder.platform import protocol
@@ -26,10 +26,14 @@
     :param directory: directory for the settings and the log of the gateway.
     :param targets: number of targets.
     :param service_time: seconds that a target needs to process a request.
+    :param grace: seconds from SIGTERM to SIGKILL.
     """
 
-    def __init__(self, base, directory, targets=2, service_time=0.01):
+    def __init__(
+        self, base, directory, targets=2, service_time=0.01, grace=SHUTDOWN_GRACE
+    ):
         self.base = base
+        self.grace = grace
         self.directory = directory
         self.store = StoreApplication(0.0)
         self.targets = [
@@ -109,7 +113,9 @@
             self.get_port(port_offset + 1),
             self.get_port(store_port_offset),
         )
-        write_settings(path, name, HOST, first_port, store_port, seeds=seeds)
+        write_settings(
+            path, name, HOST, first_port, store_port, seeds=seeds, grace=self.grace
+        )
         return start_gateway(path, self.log)
 
     def stop(self):
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -99,6 +99,35 @@
         assert rig.process.poll() == 0
 
 
+@pytest.mark.anyio
+async def test_request_that_the_stop_may_cut_is_accepted_for_three_seconds_only(
+    tmp_path,
+):
+    grace = 9.0
+    async with Rig(28500, tmp_path, grace=grace) as rig:
+        for target in rig.targets:
+            target.service_time = grace
+
+        async def send_first():
+            await rig.send_request("/long/x", "POST", deadline_ms=9000)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send_first)
+            await anyio.sleep(0.3)
+            rig.stop()
+            await anyio.sleep(3.0)
+            with anyio.fail_after(1.0):
+                response = await rig.send_request("/long/y", "POST", deadline_ms=9000)
+            assert response.status == 503
+            assert float(get_header(response.headers, b"retry-after")) <= 0.1
+            # Its deadline ends before the stop.
+            response = await rig.send_request("/write/z", "POST", deadline_ms=900)
+            assert response.status == 504
+            rig.process.kill()
+            tasks.cancel_scope.cancel()
+        assert len(rig.get_runs()) == 2
+
+
 @pytest.mark.anyio
 async def test_sighup_is_ignored_and_sigterm_exits_during_the_start(tmp_path):
     """The settings file is a named pipe, so that the start blocks on reading it."""
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -67,14 +67,14 @@
         now = anyio.current_time()
         request = self._parse_request(scope, now, writer.log_buffer)
         writer.request = request
-        self._check_admission()
+        self._check_admission(request)
         reader = BodyReader(scope, receive, instance.cached_state.limits)
         with instance.forwarder.scopes.open() as body_scope:
             await reader.read(request)
         if body_scope.cancelled_caught:
             raise _make_stopping_rejection()
         # The body may have taken until the instance no longer has time for the request.
-        self._check_admission()
+        self._check_admission(request)
         # A busy process may find the request and its client's disconnect together.
         await anyio.lowlevel.checkpoint()
         forward = instance.forwarder.forward(request)
@@ -93,8 +93,8 @@
                     reader.wait_disconnected, writer.write_streaming(response)
                 )
 
-    def _check_admission(self):
-        if self._instance.is_rejecting_requests():
+    def _check_admission(self, request):
+        if self._instance.is_rejecting_requests(request.expires):
             raise _make_stopping_rejection()
 
     def _parse_request(self, scope, now, log_buffer):
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -42,6 +42,9 @@
 # after the first, and after the second the instance stops even with requests in flight.
 ADMISSION_FRACTION = 0.45
 STOP_FRACTION = 0.85
+# Seconds from a stop signal after which requests that may last until the stop are
+# rejected. The platform expects that no request is cut that came after three seconds.
+MAX_OPEN_ENDED_ADMISSION = 2.7
 # Fraction of the grace time for which connections without a request are kept after the
 # last was accepted, and its upper limit in seconds.
 FIRST_REQUEST_FRACTION = 0.1
@@ -132,18 +135,21 @@
         """Return whether clients should connect to this instance."""
         return not self.is_shutting_down and self.cached_state.route_table is not None
 
-    def is_rejecting_requests(self):
-        """Return whether requests that were not sent to a target yet are rejected.
+    def is_rejecting_requests(self, expires):
+        """Return whether a request that was not sent to a target yet is rejected.
 
         The time of the call counts as that of the last request.
+
+        :param expires: monotonic time of the request's timeout.
         """
         now = anyio.current_time()
         self._last_request_at = now
         if self._shutdown_began is None:
             return False
-        return (
-            now > self._shutdown_began + ADMISSION_FRACTION * self.settings.bounds.grace
-        )
+        admission = ADMISSION_FRACTION * self.settings.bounds.grace
+        if expires > self.forwarder.stops_at:
+            admission = min(admission, MAX_OPEN_ENDED_ADMISSION)
+        return now > self._shutdown_began + admission
 
     def choose_entry_instances(self, failure_domain, region):
         """Return the members that a client in a failure domain should connect to."""
@@ -231,13 +237,13 @@
         self.is_shutting_down = True
         self.members.remove_self()
         shutdown_began = self._shutdown_began = anyio.current_time()
+        grace = self.settings.bounds.grace
+        self.forwarder.stops_at = shutdown_began + STOP_FRACTION * grace
         self.log.write(
             catalogue.INSTANCE_LEAVING, open=self.client_listener.in_flight_requests
         )
         with anyio.move_on_after(1.0):
             await self.registration.deregister()
-        grace = self.settings.bounds.grace
-        self.forwarder.stops_at = shutdown_began + STOP_FRACTION * grace
         # Clients connect here until their cached directory response expires.
         earliest_stop = shutdown_began + min(
             self.settings.bounds.lookup_ttl, ADMISSION_FRACTION * grace
