Change the configuration in the soak and check that it comes into force

The soak never changed the configuration, so that it could not find a late one. It now writes versions while faults go on, every other one just before the store falls silent, and after the recovery checks that every gateway has a further version in force 2.5 s after it was written.

Seed 536 is among the tests.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import anyio
+import httpcore
 import msgspec
 
 from standins.asgi import serve
@@ -15,6 +16,7 @@
 )
 from standins.store import StoreApplication, StoreFault
 from standins.target import TargetApplication, TargetFault
+from turmericrudder.http_client import TRANSPORT_ERRORS, make_timeout_extensions
 from turmericrudder.platform import protocol
 
 from .proxy import Proxy
@@ -23,6 +25,7 @@
 
 HOST = "127.0.30.1"
 PORTS_PER_GATEWAY = 10
+METRICS_TIMEOUT = 4.0  # seconds
 # Offsets from the run's first port.
 GATEWAY_PORT_OFFSET = 100  # first port of the first gateway
 TARGET_PORT_OFFSET = 20  # first target
@@ -118,6 +121,7 @@
         ]
         self.gateways = [self._make_gateway(n, gateways) for n in range(gateways)]
         self._sequence = 1
+        self._configuration_version = 0
 
     async def start(self, tasks):
         """Start everything, servers and proxies in a task group."""
@@ -129,7 +133,7 @@
         tasks.start_soon(serve, applications)
         for proxy in [*self.target_proxies, *self.store_proxies]:
             await tasks.start(proxy.run)
-        self.put(protocol.CONFIGURATION_KEY, _make_configuration())
+        self.put_configuration()
         for number in range(len(self.targets)):
             self.register_target(number)
         for gateway in self.gateways:
@@ -170,6 +174,31 @@
             },
         )
 
+    def put_configuration(self):
+        """Write the next version of the configuration and return its number."""
+        self._configuration_version += 1
+        self.put(
+            protocol.CONFIGURATION_KEY, _make_configuration(self._configuration_version)
+        )
+        return self._configuration_version
+
+    async def get_configuration_version(self, number):
+        """Return the version in force at a gateway, ``None`` if it does not respond."""
+        # The fifth port of each gateway is for metrics.
+        url = f"http://{HOST}:{self.get_client_port(number) + 4}/metrics"
+        async with httpcore.AsyncConnectionPool() as pool:
+            try:
+                response = await pool.request(
+                    "GET", url, extensions=make_timeout_extensions(METRICS_TIMEOUT)
+                )
+            except TRANSPORT_ERRORS:
+                return None
+        for line in response.content.decode().splitlines():
+            series, _, value = line.rpartition(" ")
+            if series == "turmericrudder_configuration_version":
+                return int(float(value))
+        return None
+
     def put(self, key, value):
         """Write a key of the store, or remove it if the value is ``None``."""
         self.store.put_document(key, value)
@@ -195,12 +224,12 @@
         return GatewayProcess(path, self._directory / f"g{number}.log")
 
 
-def _make_configuration():
+def _make_configuration(version):
     columns = ["name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority"]
     columns += ["service", "max_attempts", "affinity"]
     return msgspec.to_builtins(
         {
-            "version": "r1",
+            "version": f"r{version}",
             "routes": {
                 "columns": columns,
                 "rows": [
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,6 +28,10 @@
 START_TIMEOUT = 10.0  # seconds
 RECOVERY_TIME = 6.0  # seconds after the last fault; the platform allows 15
 MIN_SUCCESS_RATE = 0.9  # fraction of the requests after recovery that get a 200
+CONFIGURATION_INTERVAL = (0.3, 2.0)  # seconds between changes of the configuration
+# Seconds from a change until the store falls silent; the next watches are lost then.
+SILENCE_DELAY = 0.05
+CONFIGURATION_TIME = 2.5  # seconds until a change is in force
 DRAIN_TIME = 2.5  # seconds until a draining target gets no new requests
 DRAIN_CHECK_TIME = 1.0  # seconds after DRAIN_TIME in which no request may arrive
 
@@ -87,11 +91,13 @@
                 clients.start_soon(self._run_client, number)
             async with anyio.create_task_group() as faults:
                 end = anyio.current_time() + seconds
+                faults.start_soon(self._change_configuration, end)
                 while anyio.current_time() < end:
                     faults.start_soon(self._inject_fault, *self._draw_fault())
                     await anyio.sleep(self._random.uniform(*FAULT_INTERVAL))
             await anyio.sleep(RECOVERY_TIME)
             recovery_end = anyio.current_time()
+            await self._check_configuration()
             await self._check_drain()
             self._is_stopped = True
         result = self.result
@@ -105,6 +111,21 @@
                 f"success rate {result.success_rate:.2f} after recovery"
             )
 
+    async def _check_configuration(self):
+        environment = self._environment
+        for number in range(len(environment.gateways)):
+            # The first call loads a library.
+            await environment.get_configuration_version(number)
+        version = environment.put_configuration()
+        await anyio.sleep(CONFIGURATION_TIME)
+        for number in range(len(environment.gateways)):
+            known = await environment.get_configuration_version(number)
+            if known != version:
+                self.result.violations.append(
+                    f"g{number} uses version {known} of the configuration "
+                    f"{CONFIGURATION_TIME} s after version {version}"
+                )
+
     async def _check_drain(self):
         environment = self._environment
         environment.register_target(0, "draining")
@@ -192,6 +213,18 @@
         await anyio.sleep(seconds)
         self._environment.set_store_fault()
 
+    async def _change_configuration(self, end):
+        """Write versions of the configuration until a time, some before a silence."""
+        # Of its own, so that the other faults of a seed do not depend on it.
+        rng = random.Random(f"{self.result.seed} configuration")
+        while anyio.current_time() < end:
+            await anyio.sleep(rng.uniform(*CONFIGURATION_INTERVAL))
+            self._environment.put_configuration()
+            if rng.random() < 0.5:
+                self.result.faults.append("store silent")
+                await anyio.sleep(SILENCE_DELAY)
+                await self._fail_store({"silent": True}, rng.uniform(*FAULT_DURATION))
+
     async def _fail_target(self, number_and_fault, seconds):
         number, fault = number_and_fault
         self._environment.set_target_fault(number, **fault)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,8 @@
     (110, 10.0),
     # SIGTERM arrived during start-up, before a handler was installed.
     (7303, 10.0),
+    # The store lost a watch in a silent outage; a later configuration came late.
+    (536, 12.0),
 )
 
 
