--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -128,6 +128,16 @@
         assert len(rig.get_runs()) == 2
 
 
+@pytest.mark.anyio
+async def test_further_sigterm_does_not_change_the_exit_status(tmp_path):
+    async with Rig(28600, tmp_path) as rig:
+        with anyio.fail_after(SHUTDOWN_GRACE):
+            while rig.process.poll() is None:
+                rig.stop()
+                await anyio.sleep(0.001)
+        assert rig.process.returncode == 0
+
+
 @pytest.mark.anyio
 async def test_sighup_is_ignored_and_sigterm_exits_during_the_start(tmp_path):
     """The settings file is a named pipe, so that the start blocks on reading it."""
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -38,6 +38,7 @@
 
 NONCE_BYTES = 8
 HOUSEKEEPING_INTERVAL = 0.5  # seconds
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 # Fractions of the grace time, counted from a stop signal: new requests are rejected
 # after the first, and after the second the instance stops even with requests in flight.
 ADMISSION_FRACTION = 0.45
@@ -185,7 +186,7 @@
         SIGHUP reloads the settings.
         """
         async with anyio.create_task_group() as tasks:
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
                 for listener in self._listeners:
                     await listener.open()
                 self.log.write(
@@ -202,6 +203,11 @@
                         break
                     self._reload()
                 await self._shut_down()
+                # The receiver restores the default action, which would end the process
+                # with another exit status.
+                signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+            for number in HANDLED_SIGNALS:
+                signal.signal(number, signal.SIG_IGN)
             tasks.cancel_scope.cancel()
 
     def _handle_own_entry_removed(self):
