--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -11,13 +11,11 @@
 from .client_request import ClientRequest
 from .outcome import CompleteResponse, LocalResponse, StreamingResponse
 from .response_writer import ResponseWriter
+from .retry_state import MIN_RETRY_AFTER
 
 __all__ = ["ClientApplication"]
 
 CONFIGURATION_TIMEOUT = 0.4  # seconds a request waits for the first configuration
-# Seconds until a client may retry a request that a stopping instance rejects; others
-# are there.
-STOPPING_RETRY_AFTER = 0.05
 
 # A client, this instance and a target could each use another one of several values.
 _SINGLE_HEADERS = frozenset(
@@ -144,7 +142,8 @@
 
 
 def _make_stopping_rejection():
-    return RequestRejected(503, "stopping", retry_after=STOPPING_RETRY_AFTER)
+    # Other instances have time for the request at once.
+    return RequestRejected(503, "stopping", retry_after=MIN_RETRY_AFTER)
 
 
 def _check_headers(headers):
