Close the gateways of a soak that is ended by SIGTERM

Found by seed 22309: all gateways used version 10 of the configuration, 2.5 s after version 9 was written. Gateways of seed 22009, whose soak I had ended, still ran on the same ports, since 22009 and 22309 are alike modulo 50, and knew version 10 from their own run.

test_soak_that_is_ended_leaves_no_gateway failed before: the port of the first gateway was still open.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import logging
 import secrets
+import signal
 
 import anyio
 import typer
@@ -19,6 +20,8 @@
     ),
 ) -> None:
     """Run consecutive seeds one after the other and print the violations found."""
+    # Raises KeyboardInterrupt, so that the run closes its environment.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     # uvicorn would log a traceback for each stand-in cancelled at the end of a run.
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     first_seed = secrets.randbits(SEED_BITS) if first is None else first
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,14 @@
 """Short soak runs, among them each seed that ever failed, and the soak's checks."""
 
+import subprocess
+import sys
+
+import anyio
 import pytest
 
+from soak.environment import HOST, Environment
 from soak.history import History, RequestResult
-from soak.run import run_seed
+from soak.run import FIRST_PORT, PORTS_PER_SEED, START_TIMEOUT, run_seed
 
 # (seed, seconds in which faults start). Seeds that failed once stay here; the comment
 # above each says why it failed.
@@ -27,6 +32,36 @@
     assert result.request_count > 100 and result.faults
 
 
+@pytest.mark.anyio
+async def test_soak_that_is_ended_leaves_no_gateway(tmp_path):
+    seed = 12
+    environment = Environment(FIRST_PORT + PORTS_PER_SEED * seed, tmp_path)
+    port = environment.get_client_port(0)
+    soak = subprocess.Popen(
+        [sys.executable, "-m", "soak", "--first", str(seed)], stderr=subprocess.DEVNULL
+    )
+    try:
+        with anyio.fail_after(2 * START_TIMEOUT):
+            while not await is_open(port):
+                await anyio.sleep(0.05)
+    finally:
+        soak.terminate()
+    with anyio.fail_after(10.0):
+        while soak.poll() is None:
+            await anyio.sleep(0.05)
+    assert not await is_open(port)
+
+
+async def is_open(port):
+    """Return whether a process listens on a port of the soak's host."""
+    try:
+        stream = await anyio.connect_tcp(HOST, port)
+    except OSError:
+        return False
+    await stream.aclose()
+    return True
+
+
 @pytest.mark.parametrize(
     ("result", "runs", "text"),
     [
