Keep the limit of a target that is registered again

A target whose entry lapses, as in an outage of the store, and is written again by the same incarnation was tracked anew.

Cause: the removal of a registration also removed what was learnt from the target itself. The entry that remembers a removal now holds the tracked target, which is used again for the same incarnation; another one still starts without measurements. The requests in flight and the rate of a cold target are kept by that too.

test_target_registered_again_keeps_its_limit_until_it_restarts failed before (limit None).

--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -194,6 +194,21 @@
     assert limiter.get_wait(None, members, 1.5) == 0.0
 
 
+def test_target_registered_again_keeps_its_limit_until_it_restarts():
+    catalog = EndpointCatalog()
+    catalog.put(make_endpoint(), 1, 0.0)
+    catalog.get_target("t").rate_limiter.record_limit(2.0, 7, 0.0, random.Random(1))
+    catalog.remove("t", 2, 5.0)
+    assert catalog.get_targets("s") == ()
+    catalog.put(make_endpoint(sequence=2), 3, 6.0)
+    target = catalog.get_target("t")
+    assert catalog.get_targets("s") == (target,) and catalog.is_usable(target)
+    assert target.rate_limiter.limit == 2.0
+    catalog.remove("t", 4, 7.0)
+    catalog.put(make_endpoint(started_at_ms=2), 5, 8.0)
+    assert catalog.get_target("t").rate_limiter.limit is None
+
+
 @pytest.mark.anyio
 async def test_two_processes_together_keep_the_limits_of_their_targets(tmp_path):
     limit = 4.0
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -32,7 +32,7 @@
     def __init__(self):
         self._targets = {}  # target id -> TrackedTarget
         self._revisions = {}  # target id -> latest store revision
-        self._tombstones = {}  # target id -> (Endpoint, time of removal)
+        self._tombstones = {}  # target id -> (TrackedTarget, time of removal)
         self._by_service = {}  # service -> tuple of TrackedTarget
         self._evacuated_domains = set()
         self._profiles = {}
@@ -91,16 +91,14 @@
         known_revision = self._revisions.get(endpoint.id, 0)
         if revision <= known_revision:
             return False
-        tombstone = self._tombstones.get(endpoint.id)
-        if tombstone is not None and endpoint.is_older_than(tombstone[0]):
-            return False
-        target = self._targets.get(endpoint.id)
+        removed, _ = self._tombstones.get(endpoint.id, (None, None))
+        target = self._targets.get(endpoint.id, removed)
         if target is not None and endpoint.is_older_than(target.endpoint):
             return False
         self._revisions[endpoint.id] = revision
         self._tombstones.pop(endpoint.id, None)
         if target is None or not target.endpoint.is_same_incarnation(endpoint):
-            self._add(endpoint, revision, target, tombstone, now)
+            self._add(endpoint, revision, target, now)
         else:
             target.revision = revision
             self._update(target, endpoint, now)
@@ -119,7 +117,7 @@
         if target is None:
             return False
         target.is_removed = True
-        self._tombstones[target_id] = (target.endpoint, now)
+        self._tombstones[target_id] = (target, now)
         self._reindex(target.endpoint.service)
         self._purge_tombstones(now)
         return True
@@ -154,19 +152,15 @@
                 self._mark_cold(target, now, self._get_cold_start(target.endpoint))
         return True
 
-    def _add(self, endpoint, revision, previous, tombstone, now):
+    def _add(self, endpoint, revision, previous, now):
         """Track a new incarnation, without the measurements of the previous one.
 
         It is cold for its ``cold_remaining``, and at least for the ``cold_start`` of
-        its service unless it was registered before the first synchronization or is
-        only registered again after a removal.
+        its service unless it was registered before the first synchronization.
         """
         target = TrackedTarget(endpoint, revision)
-        is_reregistration = tombstone is not None and tombstone[0].is_same_incarnation(
-            endpoint
-        )
         cold = endpoint.cold_remaining
-        if self.has_synced and not is_reregistration:
+        if self.has_synced:
             cold = max(cold, self._get_cold_start(endpoint))
         self._mark_cold(target, now, cold)
         if previous is not None:
@@ -177,12 +171,15 @@
             self._reindex(previous.endpoint.service)
 
     def _update(self, target, endpoint, now):
+        """Update an incarnation that is registered or is registered again."""
+        was_registered = endpoint.id in self._targets
+        self._targets[endpoint.id] = target
         previous, target.endpoint = target.endpoint, endpoint
         target.is_removed = False
         self._mark_cold(target, now, endpoint.cold_remaining)
         if previous.service != endpoint.service:
             self._reindex(previous.service)
-        if not previous.is_ranked_like(endpoint):
+        if not was_registered or not previous.is_ranked_like(endpoint):
             self._reindex(endpoint.service)
 
     def _mark_cold(self, target, now, seconds):
