Publish to followers what is written after a withheld deletion

An instance that follows a reader may have handled requests by an older configuration, or sent them to an evacuated domain, up to 5.5 s after a silent outage of the store. After an outage a reader withholds the deletions of targets and members for 2 s, and with them held back all later changes from its followers, whatever they were. Meanwhile it reported a fresh contact, so that the followers did not watch the store themselves. A watch that was lost just before the end of the outage adds up to 3 s, in which it learns of no deletion.

The class is that of: the reader's contact stood for changes it did not pass on. Entries written after a withheld deletion, the configuration, evacuations and registrations, are now published ahead of their place; only deletions wait. The published revision stays before the withheld deletion, so that a follower gets all that it skipped in order later.

test_withheld_deletion_delays_no_later_change_at_followers failed before (TimeoutError in wait_for).

--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -20,6 +20,9 @@
 WATCHES_OF_ONE = 2  # at most that one instance makes in 1.5 s without changes
 
 
+STABLE_WINDOW = 4.0  # seconds after an outage within which changes may come later
+
+
 DRAIN_TIMEOUT = 2.5  # seconds until a draining target gets no new requests
 
 
@@ -91,6 +94,36 @@
         await rig.put({"servers/t0": make_registration(rig.get_target_port(0), seq=95)})
 
 
+@pytest.mark.anyio
+async def test_withheld_deletion_delays_no_later_change_at_followers(rig):
+    """The reader's watch is lost in an outage, so that it withholds deletions late."""
+    process = rig.start_instance(
+        port_offset=60, store_port_offset=79, seeds=[rig.get_port(4)]
+    )
+
+    async def is_ready():
+        return await rig.is_ready(port_offset=60)
+
+    async def is_evacuated():
+        return (await rig.send_request(port_offset=60)).status == 503
+
+    try:
+        await wait_for(is_ready, 5.0)
+        await rig.put({"servers/t9": make_registration(9)})
+        await anyio.sleep(0.05)
+        await rig.set_fault(silent=True)
+        await anyio.sleep(0.5)
+        await rig.set_fault()
+        await rig.put({"servers/t9": None})
+        await anyio.sleep(STABLE_WINDOW - APPLY_TIMEOUT)
+        await rig.put({"op/evacuate/a1": {}})
+        await wait_for(is_evacuated, APPLY_TIMEOUT)
+    finally:
+        process.kill()
+        process.wait()
+        await rig.put({"op/evacuate/a1": None})
+
+
 @pytest.mark.anyio
 async def test_follower_watches_the_store_when_the_reader_stalls(tmp_path):
     """Of two instances, the one that watches the store is paused; a target drains."""
--- a/turmericrudder/gateway/change_log.py
+++ b/turmericrudder/gateway/change_log.py
@@ -15,7 +15,8 @@
     """The current store entries, and the latest changes in the order of revisions.
 
     A withheld deletion (its lease may have expired only because the store was
-    unreachable) and all changes after it are not published.
+    unreachable) is not published, nor are the deletions after it. Entries written after
+    it are, ahead of their place in the order.
 
     :ivar revision: the store's revision up to which all changes are known.
     """
@@ -49,23 +50,29 @@
         self._notify_waiters()
 
     def append(self, event):
-        """Add a change; changes are added in the order of their revisions."""
+        """Add a change, whose revision :meth:`advance` has still to reach.
+
+        Changes are added in the order of their revisions, but for entries that a peer
+        published ahead.
+        """
         if isinstance(event, Deletion):
             self._entries.pop(event.key, None)
         else:
             self._entries[event.key] = event
         self._events.append(event)
         if len(self._events) > MAX_EVENTS:
-            self._compacted_revision = self._events.popleft().revision
-        self.advance(event.revision)
+            removed = self._events.popleft()
+            self._compacted_revision = max(self._compacted_revision, removed.revision)
         self._notify_waiters()
 
     def advance(self, revision):
         """Record that all changes up to a revision are known."""
-        self.revision = max(self.revision, revision)
+        if revision > self.revision:
+            self.revision = revision
+            self._notify_waiters()
 
     def withhold(self, event):
-        """Publish neither a deletion nor later changes until :meth:`release`."""
+        """Publish neither a deletion nor later ones until :meth:`release`."""
         self._withheld_revisions.add(event.revision)
 
     def release(self, event):
@@ -76,18 +83,23 @@
     async def wait_newer(self, revision, timeout):
         """Wait until changes after ``revision`` are published.
 
+        While a deletion is withheld, wait for any change, since entries published ahead
+        do not raise the published revision.
+
         :param timeout: seconds to wait at most.
         """
         with anyio.move_on_after(timeout):
             while self.get_published_revision() <= revision:
                 await self._changed.wait()
+                if self._withheld_revisions:
+                    break
 
     def _notify_waiters(self):
         self._changed.set()
         self._changed = anyio.Event()
 
     def get_published_revision(self):
-        """Return the revision up to which changes are published."""
+        """Return the revision up to which all changes are published."""
         return (
             min(self._withheld_revisions) - 1
             if self._withheld_revisions
@@ -106,8 +118,16 @@
             event
             for event in self._events
             if after < event.revision <= published_revision
+            or self._is_published_ahead(event, published_revision)
         ]
 
+    def _is_published_ahead(self, event, published_revision):
+        return (
+            bool(self._withheld_revisions)
+            and event.revision > published_revision
+            and self._entries.get(event.key) is event
+        )
+
     def get_snapshot(self):
         """Return all current store entries, ``None`` while a deletion is withheld."""
         return None if self._withheld_revisions else list(self._entries.values())
