Accept in the soak that SIGTERM ends a gateway before the interpreter runs

The gateway installs its handler before anything else; until then the signal has its default action, and nothing was accepted that could be cut.

The check is as strict for all other processes: -15 is accepted only if the kernel shows no handler for SIGTERM and the process was not told to stop before, so that the end of a stop is still checked.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -1,5 +1,6 @@
 """Environment of a run: store, targets and proxies here, gateways as processes."""
 
+import re
 import signal
 from pathlib import Path
 
@@ -33,18 +34,30 @@
 FAILURE_DOMAINS = tuple(DOMAIN_REGIONS)
 
 
+def handles_signal(pid, number):
+    """Return whether a process has installed a handler for a signal.
+
+    Source: the line ``SigCgt`` of ``/proc/PID/status``, a mask of signals.
+    """
+    status = Path(f"/proc/{pid}/status").read_text()
+    mask = int(re.search(r"^SigCgt:\s*([0-9a-f]+)$", status, re.MULTILINE)[1], 16)
+    return bool(mask >> (number - 1) & 1)
+
+
 class GatewayProcess:
     """One gateway, whose process may be stopped and started again.
 
     :ivar process: the :class:`subprocess.Popen` of the latest start.
     :ivar failed_shutdowns: a line for each graceful shutdown that did not end within
-        the grace time with status 0, although no other signal was sent meanwhile.
+        the grace time with status 0, although no other signal was sent meanwhile. A
+        process that had not installed its handler yet may also end by the signal.
     """
 
     def __init__(self, path, log):
         self._path = path
         self._log = log
         self._signal_count = 0
+        self._is_stopping = False
         self.process = None
         self.failed_shutdowns = []
 
@@ -52,6 +65,7 @@
         """Start the process unless it is running."""
         if self.process is not None and self.process.poll() is None:
             return
+        self._is_stopping = False
         self.process = start_gateway(self._path, self._log)
 
     def send_signal(self, number):
@@ -67,13 +81,18 @@
         """
         if self.process.poll() is not None:
             return  # killed by another fault, which starts it again
+        accepted = {0}
+        is_starting = not handles_signal(self.process.pid, signal.SIGTERM)
+        if is_starting and not self._is_stopping:
+            accepted.add(-signal.SIGTERM)
+        self._is_stopping = True
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGTERM)
         process, signal_count = self.process, self._signal_count
         with anyio.move_on_after(SHUTDOWN_GRACE):
             while process.poll() is None:
                 await anyio.sleep(0.05)
-        if process.poll() != 0 and self._signal_count == signal_count:
+        if process.poll() not in accepted and self._signal_count == signal_count:
             self.failed_shutdowns.append(
                 f"{self._path.name}: exit status {process.poll()} after SIGTERM"
             )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,14 @@
 """Short soak runs, among them each seed that ever failed, and the soak's checks."""
 
+import os
+import signal
 import subprocess
 import sys
 
 import anyio
 import pytest
 
-from soak.environment import HOST, Environment
+from soak.environment import HOST, Environment, handles_signal
 from soak.history import History, RequestResult
 from soak.run import FIRST_PORT, PORTS_PER_SEED, START_TIMEOUT, run_seed
 
@@ -21,6 +23,8 @@
     (7303, 10.0),
     # The store lost a watch in a silent outage; a later configuration came late.
     (536, 12.0),
+    # SIGTERM arrived before the interpreter of the gateway ran.
+    (23241, 12.0),
 )
 
 
@@ -52,6 +56,11 @@
     assert not await is_open(port)
 
 
+def test_handled_signals_of_a_process_are_known():
+    assert handles_signal(os.getpid(), signal.SIGINT)
+    assert not handles_signal(os.getpid(), signal.SIGUSR2)
+
+
 async def is_open(port):
     """Return whether a process listens on a port of the soak's host."""
     try:
