Log a restored store, a lost history and each reading of the store

Nothing told an instance that ignores the restored entries from one that does not see them. The store's era, from its header Store-Era, is read and logged; no decision uses it yet.

--- a/turmericrudder/events/catalogue.py
+++ b/turmericrudder/events/catalogue.py
@@ -61,6 +61,20 @@
     205, "entry_refused", WARNING, "store entry is malformed; its value is not used"
 )
 
+STORE_RESTORED = Event(
+    206,
+    "store_restored",
+    WARNING,
+    "store came back from an older copy; its revisions begin anew",
+)
+HISTORY_LOST = Event(
+    207,
+    "history_lost",
+    INFO,
+    "store no longer keeps the changes after the known revision; all entries are read",
+)
+STORE_READ = Event(208, "store_read", INFO, "all entries of the store were read")
+
 MEMBER_JOINED = Event(
     301, "member_joined", INFO, "an instance joined the members or became live"
 )
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -172,6 +172,7 @@
             "store_calls": self.store.call_count,
             "store_reader": int(self.members.is_reader()),
             "store_revision": self.store_sync.change_log.revision,
+            "store_era": self.store_sync.era,
             "watch_seconds": self.store_sync.get_watch_duration(),
             "configuration_version": self.cached_state.version or 0,
             "limited_targets": self.cached_state.catalog.count_limited(),
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -55,6 +55,8 @@
 
     After an outage, deletions of targets and members are withheld for a grace
     period, since their owners may rewrite entries whose lease expired in the outage.
+
+    :ivar era: the latest era of the store that is known, 0 if it names none.
     """
 
     __slots__ = (
@@ -71,6 +73,7 @@
         "_watch_began_at",
         "_withheld",
         "change_log",
+        "era",
     )
 
     def __init__(self, cached_state, store, peer_client, log):
@@ -91,6 +94,7 @@
         self._peer_valid_until = 0.0
         self._watch_began_at = None
         self.change_log = ChangeLog()
+        self.era = 0
 
     async def run(self):
         """Follow the store and peers until cancelled."""
@@ -138,8 +142,9 @@
                     await self._watch_changes()
                 else:
                     await self._read_all()
-            except HistoryCompacted:
+            except HistoryCompacted as exc:
                 self._is_synced = False
+                self._log.write(catalogue.HISTORY_LOST, reason=str(exc))
             except StoreError as exc:
                 self._record_unreachable(exc, began_at)
                 await anyio.sleep_until(began_at + RETRY_DELAY)
@@ -152,6 +157,18 @@
     async def _read_all(self):
         page = await self._store.get_all(ALL_KEYS_PREFIX)
         self._record_reachable()
+        self._record_era(page.era)
+        ignored = sum(
+            entry.revision < self._revisions.get(entry.key, 0) for entry in page.entries
+        )
+        self._log.write(
+            catalogue.STORE_READ,
+            era=page.era,
+            revision=page.revision,
+            known_revision=self.change_log.revision,
+            entries=len(page.entries),
+            ignored=ignored,
+        )
         self._apply_snapshot(
             {entry.key: entry for entry in page.entries}, page.revision
         )
@@ -167,6 +184,7 @@
         if _is_overdue(duration):
             self._recovered_at = anyio.current_time()
         self._record_reachable()
+        self._record_era(response.era)
         for event in response.events:
             self._apply_event(event)
         self.change_log.advance(response.revision)
@@ -302,6 +320,18 @@
             self._unreachable_since = began_at if is_overdue else now
             self._log.write(catalogue.STORE_UNREACHABLE, error=str(exc))
 
+    def _record_era(self, era):
+        if era is None or era <= self.era:
+            return
+        if self.era:
+            self._log.write(
+                catalogue.STORE_RESTORED,
+                era=era,
+                known_era=self.era,
+                known_revision=self.change_log.revision,
+            )
+        self.era = era
+
     def _record_reachable(self):
         self.record_store_contact()
         if self._unreachable_since is None:
--- a/turmericrudder/http_client.py
+++ b/turmericrudder/http_client.py
@@ -38,10 +38,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BoundedResponse:
-    """A response that was read to its end within its bounds."""
+    """A response that was read to its end within its bounds.
+
+    :param headers: (name, value) pairs as received.
+    """
 
     status: int
     content: bytes
+    headers: list[tuple[bytes, bytes]]
 
 
 async def send_bounded(
@@ -76,7 +80,9 @@
                             f"response longer than {max_bytes} bytes"
                         )
                 _close_if_excess(response)
-                return BoundedResponse(response.status, b"".join(chunks))
+                return BoundedResponse(
+                    response.status, b"".join(chunks), response.headers
+                )
     except TimeoutError:
         raise httpcore.ReadTimeout(f"no complete response in {timeout:g} s") from None
 
--- a/turmericrudder/platform/protocol.py
+++ b/turmericrudder/platform/protocol.py
@@ -16,6 +16,7 @@
     "RESPONSE_SIGNATURE_HEADER",
     "SERVER_LIMIT_HEADER",
     "SERVER_LOAD_HEADER",
+    "STORE_ERA_HEADER",
     "STORE_KEY_PATH",
     "STORE_LEASE_PATH",
     "STORE_LEASE_RENEW_PATH",
@@ -45,6 +46,9 @@
 NOT_EXECUTED_HEADER = b"x-not-executed"
 # Id of the target that responds.
 INSTANCE_ID_HEADER = b"x-instance-id"
+# Number of the store's history. It rises each time the store is restored from a copy;
+# revisions of different histories cannot be compared.
+STORE_ERA_HEADER = b"store-era"
 
 # Paths that this system serves.
 READINESS_PATH = "/turmericrudder/ready"
--- a/turmericrudder/platform/store_client.py
+++ b/turmericrudder/platform/store_client.py
@@ -36,6 +36,7 @@
 MAX_CONNECTIONS = 4
 # Bytes of one response; several times a page or the largest value in base64.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+MAX_ERA_DIGITS = 15
 MAX_SNAPSHOT_BYTES = 16 * 1024 * 1024  # bytes of all values that get_all returns
 # During a watch the client sends nothing, so only keepalive probes detect a dead
 # connection.
@@ -121,7 +122,10 @@
         self._check_status(response, path)
         page = self._decode(response, _PageDocument)
         return Page(
-            tuple(map(_to_entry, page.items)), page.store_revision, page.has_more
+            tuple(map(_to_entry, page.items)),
+            page.store_revision,
+            page.has_more,
+            _get_era(response),
         )
 
     async def get_all(self, prefix):
@@ -144,7 +148,7 @@
                     f"entries with prefix {prefix!r} exceed {MAX_SNAPSHOT_BYTES} bytes"
                 )
             if not page.has_more or not page.entries:
-                return Page(tuple(entries.values()), revision, False)
+                return Page(tuple(entries.values()), revision, False, page.era)
             if page.entries[-1].key <= after:
                 raise StoreUnavailable(f"page after {after!r} ends before that key")
             after = page.entries[-1].key
@@ -173,7 +177,9 @@
         self._check_status(response, path)
         changes = self._decode(response, _WatchDocument)
         return WatchResponse(
-            tuple(map(_to_event, changes.events)), changes.store_revision
+            tuple(map(_to_event, changes.events)),
+            changes.store_revision,
+            _get_era(response),
         )
 
     async def write(self, key, value, expected_revision=None, lease=0):
@@ -268,6 +274,16 @@
             raise StoreUnavailable(f"store response is not valid: {exc}") from exc
 
 
+def _get_era(response):
+    """Return the era that a response names, ``None`` without a usable one."""
+    text = dict(_lower_names(response.headers)).get(protocol.STORE_ERA_HEADER, b"")
+    return int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else None
+
+
+def _lower_names(headers):
+    return ((name.lower(), value) for name, value in headers)
+
+
 def _to_entry(document):
     try:
         value = base64.b64decode(document.value, validate=True)
--- a/turmericrudder/platform/store_entries.py
+++ b/turmericrudder/platform/store_entries.py
@@ -32,11 +32,13 @@
     :param entries: the entries, sorted by key.
     :param revision: store revision at the time of the call.
     :param has_more: whether more entries follow the last one.
+    :param era: the store's era, ``None`` if it sent none.
     """
 
     entries: tuple[StoreEntry, ...]
     revision: int
     has_more: bool
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +47,9 @@
 
     :param events: written entries and deletions, in the order they occurred.
     :param revision: store revision from which the next watch continues.
+    :param era: the store's era, ``None`` if it sent none.
     """
 
     events: tuple[StoreEntry | Deletion, ...]
     revision: int
+    era: int | None = None
