Show that changes after a restore of the store are ignored

The stand-in of the store takes copies and goes back to them: entries, revisions, history and leases.

--- a/standins/store.py
+++ b/standins/store.py
@@ -3,6 +3,8 @@
 import base64
 import itertools
 from collections import Counter
+from functools import partial
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
 import anyio
@@ -63,6 +65,15 @@
     remove: list[str] = []
 
 
+class _Copy(NamedTuple):
+    """The content of the store at a moment."""
+
+    entries: dict[str, dict]
+    revision: int
+    events: list[dict]
+    leases: dict[int, tuple[float, float]]
+
+
 class StoreApplication:
     """The store with all its state in memory, as an ASGI application.
 
@@ -87,6 +98,7 @@
         self._lease_ids = itertools.count(1)
         self._fault = StoreFault()
         self._counts = Counter()
+        self._era = 1
         self._read_bucket = self._write_bucket = None
 
     async def __call__(self, scope, receive, send):
@@ -94,6 +106,7 @@
         body = await read_body(receive)
         if body is None:
             return
+        send = partial(self._send_with_era, send)
         path = scope["path"]
         if path.startswith("/admin/"):
             await self._handle_admin_call(path, body, send)
@@ -129,6 +142,30 @@
             return
         self._put(key, base64.b64encode(msgspec.json.encode(value)).decode())
 
+    def take_copy(self):
+        """Return a copy of the content, for :meth:`restore`."""
+        return _Copy(
+            dict(self._entries), self._revision, list(self._events), dict(self._leases)
+        )
+
+    def restore(self, copy):
+        """Go back to a copy: entries, revisions, history and leases."""
+        now = anyio.current_time()
+        self._entries = dict(copy.entries)
+        self._revision = copy.revision
+        self._events = list(copy.events)
+        self._leases = {
+            lease: (now + ttl, ttl) for lease, (_, ttl) in copy.leases.items()
+        }
+        self._era += 1
+        self._wake_watches()
+
+    async def _send_with_era(self, send, message):
+        if message["type"] == "http.response.start":
+            header = (protocol.STORE_ERA_HEADER, b"%d" % self._era)
+            message = message | {"headers": [*message["headers"], header]}
+        await send(message)
+
     async def _dispatch(self, path, query, body, send):
         match path:
             case protocol.STORE_KEY_PATH:
@@ -177,14 +214,18 @@
         events = []
         with anyio.move_on_after(int(query["wait_ms"]) / MS_PER_SECOND):
             while not (events := self._get_events(prefix, after)):
-                if self._fault.outage or self._fault.forget:
+                if self._fault.outage or self._fault.forget or after > self._revision:
                     break
                 await self._changed.wait()
         while self._fault.silent:
             await self._changed.wait()
         if self._fault.outage:
             await send_response(send, 503)
-        elif self._fault.forget or after + 1 < self._oldest_revision:
+        elif (
+            self._fault.forget
+            or after + 1 < self._oldest_revision
+            or after > self._revision
+        ):
             await send_response(send, 410)
         else:
             body = {"events": events, "store_revision": self._revision}
