Compare revisions of the store within one era only

After the store had come back from an older copy it gave out revisions again; instances ignored each entry below the revision that they knew for its key, a follower waited for a revision that its reader had not reached again, and a watch that began after the store had passed the known revision missed what came before it.

The store's era tells its histories apart. When it rises, an instance reads the store anew, whatever the watch returned, and counts all that it knows as older than any entry of the new era. Versions, and the start time and sequence of targets, still keep older content from coming into force; an entry whose removal was known does not come back. What the copy has lost stays in use for the grace time in which it is written again.

--- a/turmericrudder/gateway/change_log.py
+++ b/turmericrudder/gateway/change_log.py
@@ -18,6 +18,7 @@
     unreachable) is not published, nor are the deletions after it. Entries written after
     it are, ahead of their place in the order.
 
+    :ivar era: the store's era, in which its revisions count.
     :ivar revision: the store's revision up to which all changes are known.
     """
 
@@ -27,10 +28,12 @@
         "_entries",
         "_events",
         "_withheld_revisions",
+        "era",
         "revision",
     )
 
     def __init__(self):
+        self.era = 0
         self.revision = 0
         self._entries = {}
         self._events = deque()
@@ -38,7 +41,7 @@
         self._withheld_revisions = set()
         self._changed = anyio.Event()
 
-    def reset(self, entries, revision):
+    def reset(self, entries, revision, era=0):
         """Replace the log by a snapshot.
 
         :param entries: :class:`~turmericrudder.platform.StoreEntry` objects by key.
@@ -47,6 +50,7 @@
         self._events.clear()
         self._withheld_revisions.clear()
         self._compacted_revision = self.revision = revision
+        self.era = era
         self._notify_waiters()
 
     def append(self, event):
@@ -81,15 +85,16 @@
         self._notify_waiters()
 
     async def wait_newer(self, revision, timeout):
-        """Wait until changes after ``revision`` are published.
+        """Wait until changes after ``revision`` are published or another era begins.
 
         While a deletion is withheld, wait for any change, since entries published ahead
         do not raise the published revision.
 
         :param timeout: seconds to wait at most.
         """
+        era = self.era
         with anyio.move_on_after(timeout):
-            while self.get_published_revision() <= revision:
+            while self.get_published_revision() <= revision and self.era == era:
                 await self._changed.wait()
                 if self._withheld_revisions:
                     break
--- a/turmericrudder/gateway/peer_sync.py
+++ b/turmericrudder/gateway/peer_sync.py
@@ -43,6 +43,7 @@
     :param revision: the store's revision to continue from.
     :param is_whole: whether ``entries`` is a snapshot of all store entries rather than
         the changes since the requested revision.
+    :param era: the store's era, in which the revisions count.
     :param contact_age: seconds since the store last responded to the instance, or
         ``None`` if it has not yet or the instance does not watch the store itself.
     """
@@ -51,6 +52,7 @@
     is_whole: bool
     entries: list[_Entry]
     contact_age: float | None = None
+    era: int | None = None
 
     def get_events(self):
         """Return the entries as :class:`StoreEntry` and :class:`Deletion` objects."""
@@ -93,12 +95,18 @@
         """Return (status, content type, body)."""
         fields = dict(part.partition(b"=")[::2] for part in query.split(b"&"))
         after, wait = fields.get(b"after", b""), fields.get(b"wait_ms", b"0")
-        if path != PATH or not after.isdigit() or not wait.isdigit():
+        era = fields.get(b"era", b"0")
+        numbers = (after, wait, era)
+        if path != PATH or not all(text.isdigit() for text in numbers):
             return 404, b"text/plain", b""
         store_sync = self._instance.store_sync
-        seconds = min(int(wait), MAX_WAIT_MS) / MS_PER_SECOND
-        await store_sync.change_log.wait_newer(int(after), seconds)
-        update = _make_update(store_sync.change_log, int(after))
+        change_log = store_sync.change_log
+        # A peer that names no era counts as one of the same era.
+        era = int(era) or change_log.era
+        if era == change_log.era:
+            seconds = min(int(wait), MAX_WAIT_MS) / MS_PER_SECOND
+            await change_log.wait_newer(int(after), seconds)
+        update = _make_update(change_log, era, int(after))
         if update is None:
             return 503, b"text/plain", b""
         update.contact_age = store_sync.get_store_contact_age()
@@ -131,9 +139,10 @@
             msgspec.msgpack.encode(summary),
         )
 
-    async def get_update(self, address, after, wait):
+    async def get_update(self, address, era, after, wait):
         """Return the :class:`PeerUpdate` of an instance since a revision.
 
+        :param era: the store's era known to the caller, 0 for none.
         :param after: the revision.
         :param wait: seconds that the instance may wait for a change.
         :raises PeerUnreachable: if no valid response arrived.
@@ -141,7 +150,7 @@
         wait_ms = int(wait * MS_PER_SECOND)
         return await self._call(
             "GET",
-            f"http://{address}{PATH}?after={after}&wait_ms={wait_ms}",
+            f"http://{address}{PATH}?era={era}&after={after}&wait_ms={wait_ms}",
             wait + TIMEOUT_MARGIN + TRANSFER_TIMEOUT,
             make_timeout_extensions(TIMEOUT_MARGIN, read=wait + TIMEOUT_MARGIN),
             PeerUpdate,
@@ -168,21 +177,29 @@
             raise PeerUnreachable(f"{url}: {exc}") from None
 
 
-def _make_update(change_log, after):
+def _make_update(change_log, era, after):
     """Return a :class:`PeerUpdate`, or ``None`` if there is nothing to send.
 
     It has the changes since ``after`` if the log still has them, else a snapshot, which
     cannot be made while a deletion is withheld or before the store was first read.
+    Nothing is sent to a peer that knows a later era.
     """
-    events = change_log.get_since(after)
+    if era > change_log.era:
+        return None
+    events = change_log.get_since(after) if era == change_log.era else None
     if events is not None:
         return PeerUpdate(
-            change_log.get_published_revision(), False, list(map(_to_entry, events))
+            change_log.get_published_revision(),
+            False,
+            list(map(_to_entry, events)),
+            era=change_log.era,
         )
     snapshot = change_log.get_snapshot()
     if snapshot is None or not change_log.revision:
         return None
-    return PeerUpdate(change_log.revision, True, list(map(_to_entry, snapshot)))
+    return PeerUpdate(
+        change_log.revision, True, list(map(_to_entry, snapshot)), era=change_log.era
+    )
 
 
 def _to_entry(event):
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -4,7 +4,13 @@
 
 import anyio
 
-from ..errors import HistoryCompacted, PeerUnreachable, StoreEntryInvalid, StoreError
+from ..errors import (
+    HistoryCompacted,
+    PeerUnreachable,
+    StoreEntryInvalid,
+    StoreError,
+    StoreUnavailable,
+)
 from ..events import catalogue
 from ..platform import (
     Deletion,
@@ -17,6 +23,7 @@
     protocol,
 )
 from .change_log import ChangeLog
+from .known_entries import KnownEntries
 
 __all__ = ["StoreSync"]
 
@@ -39,8 +46,8 @@
 # every watch call is billed.
 BATCH_DELAY = 0.2
 ROLE_CHECK_INTERVAL = 0.05  # seconds between checks whether to watch the store
-# Seconds after an outage. The platform guarantees that entries whose lease expired
-# during it are rewritten within two seconds of its end.
+# Seconds after an outage or a restore of the store. The platform guarantees that
+# entries whose lease expired during an outage are rewritten within two seconds.
 REREGISTRATION_GRACE = 2.0
 MIN_OUTAGE = 0.3  # seconds; no lease is assumed to expire in a shorter outage
 
@@ -48,32 +55,31 @@
 class StoreSync:
     """Applies the store's changes to the cached state of an instance.
 
-    The latest revision of each key is kept, so that older changes are ignored. One
+    The latest entry of each key is kept, so that older changes are ignored. One
     instance of each region, the reader, watches the store; the others of the region
     poll the reader, and watch the store themselves if the reader may be unable to
     reach it. While the store is unreachable, any peers are polled.
 
     After an outage, deletions of targets and members are withheld for a grace
     period, since their owners may rewrite entries whose lease expired in the outage.
-
-    :ivar era: the latest era of the store that is known, 0 if it names none.
+    The same holds for all that is missing after the store was restored from an older
+    copy, which begins a new era of its revisions.
     """
 
     __slots__ = (
         "_cached_state",
         "_is_synced",
+        "_known",
         "_last_contact_at",
         "_log",
         "_peer_client",
         "_peer_valid_until",
         "_recovered_at",
-        "_revisions",
         "_store",
         "_unreachable_since",
         "_watch_began_at",
         "_withheld",
         "change_log",
-        "era",
     )
 
     def __init__(self, cached_state, store, peer_client, log):
@@ -85,7 +91,7 @@
         self._log = log
         self._store = store
         self._peer_client = peer_client
-        self._revisions = {}
+        self._known = KnownEntries()
         self._withheld = {}
         self._is_synced = False
         self._unreachable_since = None
@@ -94,7 +100,11 @@
         self._peer_valid_until = 0.0
         self._watch_began_at = None
         self.change_log = ChangeLog()
-        self.era = 0
+
+    @property
+    def era(self):
+        """The latest era of the store that is known, 0 if it has named none."""
+        return self._known.era
 
     async def run(self):
         """Follow the store and peers until cancelled."""
@@ -109,10 +119,13 @@
     def get_store_contact_age(self):
         """Return the seconds since the store last responded to this instance.
 
-        :returns: ``None`` if it has not yet, if this instance follows a peer, or if
-            its watch may be lost, whatever the store's responses to other calls.
+        :returns: ``None`` if it has not yet, if this instance follows a peer or has to
+            read the store anew, or if its watch may be lost, whatever the store's
+            responses to other calls.
         """
-        if self._last_contact_at is None or not self._must_watch_store():
+        if self._last_contact_at is None or not self._is_synced:
+            return None
+        if not self._must_watch_store():
             return None
         if _is_overdue(self.get_watch_duration()):
             return None
@@ -156,21 +169,23 @@
 
     async def _read_all(self):
         page = await self._store.get_all(ALL_KEYS_PREFIX)
+        self._check_era(page.era)
+        is_same_era = page.era is not None and page.era == self.era
+        if is_same_era and page.revision < self.change_log.revision:
+            raise StoreUnavailable(
+                f"store response has revision {page.revision}, older than"
+                f" {self.change_log.revision}"
+            )
         self._record_reachable()
-        self._record_era(page.era)
-        ignored = sum(
-            entry.revision < self._revisions.get(entry.key, 0) for entry in page.entries
-        )
         self._log.write(
             catalogue.STORE_READ,
             era=page.era,
             revision=page.revision,
             known_revision=self.change_log.revision,
             entries=len(page.entries),
-            ignored=ignored,
         )
         self._apply_snapshot(
-            {entry.key: entry for entry in page.entries}, page.revision
+            {entry.key: entry for entry in page.entries}, page.revision, page.era
         )
 
     async def _watch_changes(self):
@@ -183,8 +198,11 @@
             self._watch_began_at = None
         if _is_overdue(duration):
             self._recovered_at = anyio.current_time()
+        self._check_era(response.era)
         self._record_reachable()
-        self._record_era(response.era)
+        if response.era is not None and response.era > self.era:
+            # Revisions that were given out again precede these changes.
+            raise HistoryCompacted(f"the store began era {response.era}")
         for event in response.events:
             self._apply_event(event)
         self.change_log.advance(response.revision)
@@ -201,15 +219,19 @@
             after = self.change_log.revision
             try:
                 update = await self._peer_client.get_update(
-                    address, after, PEER_POLL_TIMEOUT
+                    address, self.era, after, PEER_POLL_TIMEOUT
                 )
             except PeerUnreachable:
                 # Another peer is polled after the delay, or the store is watched.
                 await anyio.sleep(PEER_POLL_DELAY)
                 continue
-            self._apply_update(update)
+            is_current = self._apply_update(update)
             contact_age = update.contact_age
-            if contact_age is not None and contact_age <= MAX_CONTACT_AGE:
+            if (
+                is_current
+                and contact_age is not None
+                and contact_age <= MAX_CONTACT_AGE
+            ):
                 self._peer_valid_until = anyio.current_time() + PEER_UPDATE_TTL
             else:
                 await anyio.sleep(PEER_POLL_DELAY)
@@ -221,32 +243,70 @@
         return random.choice(addresses) if addresses else None
 
     def _apply_update(self, update):
+        """Apply a peer's update; return whether it is of the current era."""
+        era = self.era if update.era is None else update.era
         if update.is_whole:
-            if update.revision > self.change_log.revision:
+            if (era, update.revision) > (self.era, self.change_log.revision):
                 entries = {entry.key: entry for entry in update.get_events()}
-                self._apply_snapshot(entries, update.revision)
-        elif self._is_synced:
+                self._apply_snapshot(entries, update.revision, era)
+        elif self._is_synced and era == self.era:
             for event in update.get_events():
                 self._apply_event(event)
             self.change_log.advance(update.revision)
+        return era == self.era
+
+    def _check_era(self, era):
+        """Raise :exc:`StoreUnavailable` for a response from before a restore."""
+        if era is not None and era < self.era:
+            raise StoreUnavailable(
+                f"store response has era {era}, older than {self.era}"
+            )
 
-    def _apply_snapshot(self, entries, revision):
-        """Replace the state by the store's complete content as of a revision."""
+    def _apply_snapshot(self, entries, revision, era):
+        """Replace the state by the store's complete content as of a revision.
+
+        :param era: the era of the revision, ``None`` for the current one.
+        """
+        begins_era = era is not None and era > self.era
+        if begins_era:
+            self._begin_era(era)
         # By key, so that the configuration comes before the targets: it has the
         # duration of the cold start for each service.
         for entry in sorted(entries.values(), key=lambda entry: entry.key):
             self._apply_event(entry)
-        for key in [key for key in self._revisions if key not in entries]:
-            if self._revisions[key] <= revision:
-                self._apply_event(Deletion(key, revision))
-        self.change_log.reset(entries, revision)
-        for deletion in self._withheld.values():
-            self.change_log.withhold(deletion)
+        for key in self._known.get_missing(entries, revision):
+            deletion = Deletion(key, revision)
+            if begins_era:
+                self._withheld[key] = deletion
+            else:
+                self._apply_event(deletion)
+        self.change_log.reset(entries, revision, self.era)
+        if not begins_era:
+            # Peers that learn of the era withhold what they miss themselves.
+            for deletion in self._withheld.values():
+                self.change_log.withhold(deletion)
         self._is_synced = True
         self._cached_state.mark_synced()
 
+    def _begin_era(self, era):
+        """Prepare for the entries of a restored store.
+
+        What the store has lost is written again shortly; until then, it stays in use.
+        """
+        if self._known:
+            self._log.write(
+                catalogue.STORE_RESTORED,
+                era=era,
+                known_era=self.era,
+                known_revision=self.change_log.revision,
+            )
+            self._recovered_at = anyio.current_time()
+        self._known.begin_era(era)
+        self._cached_state.catalog.begin_era()
+        self._withheld.clear()
+
     def _apply_event(self, event):
-        known_revision = self._revisions.get(event.key, 0)
+        known_revision = self._known.get_revision(event.key)
         if event.revision < known_revision:
             return
         if isinstance(event, Deletion):
@@ -262,8 +322,13 @@
             self.change_log.release(withheld)
         if event.revision == known_revision:
             return
-        self._revisions[event.key] = event.revision
         self.change_log.append(event)
+        if self._known.is_removed(event):
+            return
+        is_unchanged = self._known.is_unchanged(event)
+        self._known.put(event)
+        if is_unchanged:
+            return
         try:
             self._apply_entry(event)
         except StoreEntryInvalid as exc:
@@ -292,7 +357,7 @@
     def _apply_deletion(self, deletion):
         if self._withheld.pop(deletion.key, None) is not None:
             self.change_log.release(deletion)
-        self._revisions.pop(deletion.key, None)
+        self._known.remove(deletion.key)
         cached_state = self._cached_state
         key = deletion.key
         if key.startswith(protocol.EVACUATION_PREFIX):
@@ -320,18 +385,6 @@
             self._unreachable_since = began_at if is_overdue else now
             self._log.write(catalogue.STORE_UNREACHABLE, error=str(exc))
 
-    def _record_era(self, era):
-        if era is None or era <= self.era:
-            return
-        if self.era:
-            self._log.write(
-                catalogue.STORE_RESTORED,
-                era=era,
-                known_era=self.era,
-                known_revision=self.change_log.revision,
-            )
-        self.era = era
-
     def _record_reachable(self):
         self.record_store_contact()
         if self._unreachable_since is None:
--- a/turmericrudder/platform/store_client.py
+++ b/turmericrudder/platform/store_client.py
@@ -86,9 +86,13 @@
     A method raises :exc:`StoreUnavailable` if the store is unreachable or gives
     no usable response, and :exc:`StoreOverloaded` if it rejects the call above
     its rate limit. ``call_count`` is the number of calls made so far.
+
+    :ivar era: the latest era that a response has named, 0 for none. It rises each time
+        the store is restored from an older copy. Responses of earlier eras, which were
+        on their way meanwhile, are not usable.
     """
 
-    __slots__ = ("_pool", "_url", "call_count")
+    __slots__ = ("_pool", "_url", "call_count", "era")
 
     def __init__(self, address):
         self._url = f"http://{address}"
@@ -96,6 +100,7 @@
             max_connections=MAX_CONNECTIONS, socket_options=_SOCKET_OPTIONS
         )
         self.call_count = 0
+        self.era = 0
 
     async def aclose(self):
         """Close all connections."""
@@ -137,16 +142,21 @@
 
         :raises StoreResponseTooLarge: if the values exceed ``MAX_SNAPSHOT_BYTES``.
         """
-        entries, size, revision, after = {}, 0, None, ""
+        entries, size, revision, era, after = {}, 0, None, None, ""
         while True:
             page = await self.get_range(prefix, after)
-            revision = page.revision if revision is None else revision
+            if revision is None:
+                revision, era = page.revision, page.era
             entries |= {entry.key: entry for entry in page.entries}
             size += sum(len(entry.key) + len(entry.value) for entry in page.entries)
             if size > MAX_SNAPSHOT_BYTES:
                 raise StoreResponseTooLarge(
                     f"entries with prefix {prefix!r} exceed {MAX_SNAPSHOT_BYTES} bytes"
                 )
+            if page.era != era:
+                raise StoreUnavailable(
+                    f"store began era {page.era} while entries of era {era} were read"
+                )
             if not page.has_more or not page.entries:
                 return Page(tuple(entries.values()), revision, False, page.era)
             if page.entries[-1].key <= after:
@@ -244,7 +254,7 @@
             headers = [(b"content-type", b"application/json")]
             content = msgspec.json.encode(body)
         try:
-            return await send_bounded(
+            response = await send_bounded(
                 self._pool,
                 method,
                 self._url + path,
@@ -260,6 +270,14 @@
             raise StoreResponseTooLarge(f"store call {method} {path}: {exc}") from exc
         except TRANSPORT_ERRORS as exc:
             raise StoreUnavailable(f"store call {method} {path}: {exc!r}") from exc
+        era = _get_era(response)
+        if era is not None and era < self.era:
+            raise StoreUnavailable(
+                f"store call {method} {path}: response has era {era}, older than"
+                f" {self.era}"
+            )
+        self.era = era or self.era
+        return response
 
     def _check_status(self, response, path):
         if response.status == 429:
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -41,6 +41,14 @@
     def __len__(self):
         return len(self._targets)
 
+    def begin_era(self):
+        """Count the revisions known so far as older than all that follow.
+
+        Called when the store was restored from an older copy and gives out revisions
+        again.
+        """
+        self._revisions = dict.fromkeys(self._revisions, 0)
+
     def set_profiles(self, profiles):
         """Set the service profiles of the current configuration, by service."""
         self._profiles = profiles
