Register an instance anew after a restore of the store

A lease that the restored copy does not have may be given out again. An instance whose entry was lost then renewed the lease of another one, stayed out of the members, so that no client was sent to it, and took the other's entry away when it stopped. The era in which the lease was granted is now compared with the store's: in another era the entry is written with a new lease, and the old one is not revoked.

test_entry_lost_in_a_restore_is_written_although_its_lease_id_exists_again and test_stopping_instance_revokes_no_lease_that_was_given_to_another failed before.

--- a/turmericrudder/gateway/registration.py
+++ b/turmericrudder/gateway/registration.py
@@ -25,6 +25,7 @@
         "_is_failing",
         "_is_stopping",
         "_lease",
+        "_lease_era",
         "_lease_ttl",
         "_member",
         "_store",
@@ -36,14 +37,19 @@
         self._member = member
         self._lease_ttl = max(LEASE_TTL, instance.settings.lease_min)
         self._lease = None
+        self._lease_era = 0
         self._is_stopping = False
         self._is_failing = False
 
     async def run(self):
-        """Register, and renew the lease until :meth:`deregister` is called."""
+        """Register, and renew the lease until :meth:`deregister` is called.
+
+        After a restore of the store from an older copy, the lease may be gone or belong
+        to another instance, so the entry is written anew.
+        """
         while not self._is_stopping:
             try:
-                if self._lease is None:
+                if not self._has_lease():
                     await self._register()
                 else:
                     await self._store.renew_lease(self._lease)
@@ -56,6 +62,8 @@
                 continue
             self._record_success()
             self._instance.store_sync.record_store_contact()
+            if not self._has_lease():
+                continue
             await anyio.sleep(self._get_renewal_interval())
 
     def schedule_reregistration(self):
@@ -69,7 +77,8 @@
     async def deregister(self):
         """Remove the entry from the store."""
         self._is_stopping = True
-        lease, self._lease = self._lease, None
+        lease = self._lease if self._has_lease() else None
+        self._lease = None
         if lease is None:
             return
         try:
@@ -78,6 +87,9 @@
             # The entry is removed when the lease expires.
             self._instance.log.write(catalogue.ENTRY_UNKEPT, error=str(exc))
 
+    def _has_lease(self):
+        return self._lease is not None and self._lease_era == self._store.era
+
     def _record_failure(self, exc):
         """Log the first of several failures in a row to register or to renew."""
         if not self._is_failing:
@@ -96,6 +108,7 @@
 
     async def _register(self):
         lease = await self._store.grant_lease(self._lease_ttl)
+        self._lease_era = self._store.era
         value = encode_member(self._member)
         await self._store.write(get_member_key(self._member.name), value, lease=lease)
         self._lease = lease
