Assign owners anew for a configuration whose revision number was used before

After a restore of the store, the next accepted revision gets the number of one that was lost. The owners of targets were kept for a revision of the same number, so that new targets had no owner. The configuration itself is compared now.

test_owners_follow_a_configuration_with_a_revision_number_used_before failed before.

--- a/turmericrudder/daemon/ownership_tracker.py
+++ b/turmericrudder/daemon/ownership_tracker.py
@@ -44,7 +44,7 @@
         previous, live = self.current, view.get_live()
         unreachable_domains = _get_unreachable_domains(view, configuration)
         inputs = (
-            configuration.revision,
+            configuration,
             [member.name for member in live],
             unreachable_domains,
         )
