Write no head whose manifest a restore of the store has lost

An operator's change writes chunks and a manifest, then the head that names it, if the head is still at the revision that was read. A restore in between lost the manifest, while the head's revision was as expected: the head named a configuration that nobody could fetch. The head is now written only if the manifest is still at the revision at which it was written; the store then has all that came before it. Otherwise the operator is told to submit the change again. Manifest and head name the era in which they were accepted.

test_head_names_no_manifest_that_a_restore_has_lost failed before.

--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -23,6 +23,7 @@
         self.has_outage = False
         self.lost_responses = 0
         self.before_write = None
+        self.era = 0
         self._revision = 0
 
     async def get(self, key):
@@ -32,7 +33,9 @@
         value, revision = self.keys.get(key, (None, 0))
         return None if value is None else StoreEntry(key, value, revision)
 
-    async def write(self, key, value, expected_revision=None, lease=0):
+    async def write(
+        self, key, value, expected_revision=None, lease=0, other_revisions=None
+    ):
         await anyio.lowlevel.checkpoint()
         if self.has_outage:
             raise StoreUnavailable("outage")
@@ -40,11 +43,12 @@
             await self.before_write(key)
         if len(value) > MAX_VALUE_BYTES:
             raise ValueTooLarge(key)
-        if (
-            expected_revision is not None
-            and self.keys.get(key, (None, 0))[1] != expected_revision
-        ):
-            raise CompareFailed(key)
+        expected_revisions = dict(other_revisions or {})
+        if expected_revision is not None:
+            expected_revisions[key] = expected_revision
+        for name, revision in expected_revisions.items():
+            if self.keys.get(name, (None, 0))[1] != revision:
+                raise CompareFailed(name)
         self._revision += 1
         self.keys[key] = (value, self._revision)
         if self.lost_responses and key.endswith("/head"):
--- a/turmericrudder/cli/exit_codes.py
+++ b/turmericrudder/cli/exit_codes.py
@@ -8,6 +8,7 @@
     PeerUnreachable,
     RevisionConflict,
     SettingsInvalid,
+    StoreRestored,
     StoreUnavailable,
     ValueTooLarge,
 )
@@ -34,6 +35,7 @@
     SettingsInvalid: ExitCode.SETTINGS_INVALID,
     ConfigurationInvalid: ExitCode.CONFIGURATION_INVALID,
     RevisionConflict: ExitCode.REVISION_CONFLICT,
+    StoreRestored: ExitCode.STORE_UNAVAILABLE,
     StoreUnavailable: ExitCode.STORE_UNAVAILABLE,
     ValueTooLarge: ExitCode.VALUE_TOO_LARGE,
     ConfigurationMissing: ExitCode.CONFIGURATION_MISSING,
--- a/turmericrudder/configuration/record.py
+++ b/turmericrudder/configuration/record.py
@@ -10,11 +10,18 @@
 
     :param manifest: hash of the revision's manifest.
     :param change: unique id of the change that made the revision.
+    :param era: as of :class:`Manifest`.
     """
 
     revision: int
     manifest: str
     change: str
+    era: int = 0
+
+    @property
+    def position(self):
+        """The place of the revision among all revisions, as a tuple to compare."""
+        return self.era, self.revision
 
 
 class Manifest(msgspec.Struct, frozen=True):
@@ -26,6 +33,8 @@
     :param note: the operator's description of the change.
     :param time: Unix time in seconds.
     :param chunks: hashes of the chunks, the one with the texts first.
+    :param era: the era of the store in which the revision was accepted. A restore of
+        the store begins an era, in which numbers of lost revisions are used again.
     """
 
     revision: int
@@ -35,6 +44,12 @@
     note: str
     time: float
     chunks: tuple[str, ...]
+    era: int = 0
+
+    @property
+    def position(self):
+        """The place of the revision among all revisions, as a tuple to compare."""
+        return self.era, self.revision
 
 
 class TextChunk(msgspec.Struct, frozen=True):
--- a/turmericrudder/configuration/repository.py
+++ b/turmericrudder/configuration/repository.py
@@ -11,6 +11,7 @@
     ConfigurationMissing,
     HistoryCompacted,
     RevisionConflict,
+    StoreRestored,
     StoreUnavailable,
     ValueTooLarge,
 )
@@ -35,9 +36,10 @@
     under their hash. All methods raise :exc:`StoreError` if the store fails.
     """
 
-    __slots__ = ("_store", "_workspace")
+    __slots__ = ("_head_era", "_store", "_workspace")
 
     def __init__(self, store, workspace):
+        self._head_era = 0
         self._store = store
         self._workspace = workspace
 
@@ -49,6 +51,7 @@
     async def get_head(self):
         """Return (head, store revision of its key), or (``None``, 0) without one."""
         entry = await self._store.get(self.head_key)
+        self._head_era = self._store.era
         if entry is None:
             return None, 0
         return msgspec.json.decode(entry.value, type=ConfigurationHead), entry.revision
@@ -66,6 +69,9 @@
                 changes = await self._store.watch(self.head_key, version, wait)
             except HistoryCompacted:
                 return await self.get_head()
+            if self._store.era != self._head_era:
+                # The version belongs to a history that the store has lost.
+                return await self.get_head()
             if not any(event.key == self.head_key for event in changes.events):
                 return None, version
         head, new_version = await self.get_head()
@@ -130,6 +136,7 @@
         :raises ConfigurationInvalid: if the source does not compile.
         :raises RevisionConflict: if another revision was accepted first.
         :raises ValueTooLarge: if a chunk exceeds the size limit of the store.
+        :raises StoreRestored: if the store lost a part of the revision meanwhile.
         :raises StoreUnavailable: if it is unknown whether the revision was
             accepted.
         """
@@ -140,7 +147,8 @@
         revision = head.revision if head else 0
         if expected_revision is not None and expected_revision != revision:
             raise await self._make_conflict(head)
-        names = [await self._put_immutable("chunk", chunk) for chunk in chunks]
+        era = max(self._head_era, head.era if head else 0)
+        names = [(await self._put_immutable("chunk", chunk))[0] for chunk in chunks]
         manifest = Manifest(
             revision=revision + 1,
             change=uuid.uuid4().hex,
@@ -149,25 +157,42 @@
             note=note,
             time=time.time(),
             chunks=tuple(names),
+            era=era,
         )
-        name = await self._put_immutable("manifest", msgspec.json.encode(manifest))
-        await self._swap_head(
-            ConfigurationHead(revision + 1, name, manifest.change), version
+        name, manifest_version = await self._put_immutable(
+            "manifest", msgspec.json.encode(manifest)
         )
+        head = ConfigurationHead(revision + 1, name, manifest.change, era)
+        await self._swap_head(head, version, manifest_version)
         return manifest
 
-    async def _swap_head(self, head, version):
-        """Replace the head if its key is still at this store revision."""
+    async def _swap_head(self, head, version, manifest_version):
+        """Replace the head if its key is still at this store revision.
+
+        :param manifest_version: store revision of the manifest. If the store has it,
+            it also has all that was written before it.
+        """
         value = msgspec.json.encode(head)
+        manifest_key = f"{self._workspace}/manifest/{head.manifest}"
         for _ in range(WRITE_ATTEMPTS):
             try:
-                await self._store.write(self.head_key, value, expected_revision=version)
+                await self._store.write(
+                    self.head_key,
+                    value,
+                    expected_revision=version,
+                    other_revisions={manifest_key: manifest_version},
+                )
                 return
             except CompareFailed:
                 # An earlier attempt may have written the head if only its
                 # response was lost.
                 if await self._is_accepted(head):
                     return
+                if self._store.era > head.era:
+                    raise StoreRestored(
+                        "the store was restored from an older copy while revision"
+                        f" {head.revision} was written; submit it again"
+                    ) from None
                 current, _ = await self.get_head()
                 raise await self._make_conflict(current) from None
             except StoreUnavailable:
@@ -198,19 +223,23 @@
         return entry.value
 
     async def _put_immutable(self, kind, data):
-        """Write data under its hash unless it exists, and return the hash."""
+        """Write data under its hash unless it exists.
+
+        :returns: (the hash, store revision of its key).
+        """
         name = get_hash(data)
         key = f"{self._workspace}/{kind}/{name}"
         for attempt in range(WRITE_ATTEMPTS):
             try:
-                await self._store.write(key, data, expected_revision=0)
-                break
+                return name, await self._store.write(key, data, expected_revision=0)
             except CompareFailed:
-                break
+                entry = await self._store.get(key)
+                if entry is not None:
+                    return name, entry.revision
             except StoreUnavailable:
                 if attempt == WRITE_ATTEMPTS - 1:
                     raise
-        return name
+        raise StoreUnavailable(f"the store neither keeps nor accepts {kind} {name}")
 
     def _check_sizes(self, chunks):
         for chunk in chunks:
--- a/turmericrudder/errors.py
+++ b/turmericrudder/errors.py
@@ -21,6 +21,7 @@
     "StoreError",
     "StoreOverloaded",
     "StoreResponseTooLarge",
+    "StoreRestored",
     "StoreUnavailable",
     "SteeringError",
     "UpstreamCut",
@@ -81,6 +82,10 @@
     """The store's response to a call is longer than the client accepts."""
 
 
+class StoreRestored(StoreError):
+    """The store went back to an older copy and lost a part of what was written."""
+
+
 class HistoryCompacted(StoreError):
     """A watch started at a revision that the store no longer keeps."""
 
--- a/turmericrudder/platform/store_client.py
+++ b/turmericrudder/platform/store_client.py
@@ -192,27 +192,32 @@
             _get_era(response),
         )
 
-    async def write(self, key, value, expected_revision=None, lease=0):
+    async def write(
+        self, key, value, expected_revision=None, lease=0, other_revisions=None
+    ):
         """Write a key and return its new revision.
 
         :param expected_revision: revision the key must have now, 0 if it must not
             exist, ``None`` for no condition.
         :param lease: id of the lease the key belongs to, 0 for none.
-        :raises CompareFailed: if the key has another revision.
+        :param other_revisions: {other key: revision it must have now}, or ``None``.
+        :raises CompareFailed: if a key has another revision.
         :raises LeaseExpired: if the lease does not exist.
         :raises ValueTooLarge: if the value exceeds the size limit of the store.
         :raises StoreUnavailable: if it is unknown whether the write took effect.
         """
         put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
-        conditions = (
-            []
-            if expected_revision is None
-            else [{"key": key, "rev": expected_revision}]
-        )
+        expected_revisions = dict(other_revisions or {})
+        if expected_revision is not None:
+            expected_revisions[key] = expected_revision
+        conditions = [
+            {"key": name, "rev": revision}
+            for name, revision in expected_revisions.items()
+        ]
         body = {"expected_rev": conditions, "puts": [put], "remove": []}
         response = await self._call("POST", protocol.STORE_TRANSACTION_PATH, body)
         if response.status == 412:
-            raise CompareFailed(f"key {key} is not at revision {expected_revision}")
+            raise CompareFailed(f"not all keys are at revisions {expected_revisions}")
         if response.status == 404:
             raise LeaseExpired(f"lease {lease} does not exist")
         if response.status == 413:
