Order revisions of the configuration by the era in which they were accepted

After a restore of the store the number of a lost revision is used again. Revisions are now ordered by era and number, in the store, in heartbeats and in the status; messages without an era count as before. An older revision of a restored store still does not come into force.

test_revision_number_that_a_restore_gives_out_again_comes_into_force failed before.

--- a/tests/test_restored_daemon_store.py
+++ b/tests/test_restored_daemon_store.py
@@ -82,6 +82,40 @@
         yield deployment
 
 
+async def _wait_drained(deployment, name):
+    with anyio.fail_after(IN_FORCE_WITHIN):
+        while (
+            deployment.configurator.configuration is None
+            or name not in deployment.configurator.configuration.drained
+        ):
+            await anyio.sleep(0.05)
+
+
+@pytest.mark.anyio
+async def test_revision_number_that_a_restore_gives_out_again_comes_into_force(
+    deployment,
+):
+    await deployment.accept()
+    copy = deployment.store.take_copy()
+    await deployment.accept("gulf-a")
+    await _wait_drained(deployment, "gulf-a")
+    deployment.store.restore(copy)
+    manifest = await deployment.accept("delta-a")
+    assert manifest.revision == 2
+    await _wait_drained(deployment, "delta-a")
+
+
+@pytest.mark.anyio
+async def test_older_revision_of_a_restored_store_does_not_come_into_force(deployment):
+    await deployment.accept()
+    copy = deployment.store.take_copy()
+    await deployment.accept("gulf-a")
+    await _wait_drained(deployment, "gulf-a")
+    deployment.store.restore(copy)
+    await anyio.sleep(2.0)
+    await _wait_drained(deployment, "gulf-a")
+
+
 @pytest.mark.anyio
 async def test_head_names_no_manifest_that_a_restore_has_lost(deployment):
     """The store is restored between the writes of the manifest and of the head."""
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -43,7 +43,11 @@
     def __init__(self):
         self.revision = 0
 
-    def submit_revision(self, revision, manifest):
+    @property
+    def position(self):
+        return 0, self.revision
+
+    def submit_revision(self, revision, manifest, era):
         self.revision = revision
 
 
--- a/turmericrudder/cli/config.py
+++ b/turmericrudder/cli/config.py
@@ -109,9 +109,7 @@
     typer.echo(f"accepted revision {manifest.revision}")
     if not wait:
         return
-    behind, seconds = run_with_session(
-        operator, wait_in_force, manifest.revision, wait_limit
-    )
+    behind, seconds = run_with_session(operator, wait_in_force, manifest, wait_limit)
     if behind:
         typer.echo(f"not in force after {seconds:.1f} s at: {', '.join(behind)}")
         raise typer.Exit(ExitCode.NOT_IN_FORCE)
--- a/turmericrudder/control/messages.py
+++ b/turmericrudder/control/messages.py
@@ -39,6 +39,7 @@
     :param manifest: hash of that revision's manifest.
     :param key_prefix: prefix of the operation keys that the sender issues now.
     :param free_slots: {service: free slots} at the targets the sender owns.
+    :param era: the era of the store in which that revision was accepted.
     """
 
     name: str
@@ -48,6 +49,7 @@
     manifest: str
     key_prefix: str
     free_slots: dict[str, int]
+    era: int = 0
 
 
 class MembershipUpdate(_Message, tag=2):
@@ -71,6 +73,7 @@
     :param manifest: hash of that revision's manifest.
     :param members: all member records of the sender's view, or none if only the
         digest is to be compared.
+    :param era: the era of the store in which that revision was accepted.
     """
 
     member: Member
@@ -78,6 +81,7 @@
     revision: int
     manifest: str
     members: tuple[Member, ...] = ()
+    era: int = 0
 
 
 class LivenessQuery(_Message, tag=4):
--- a/turmericrudder/daemon/configurator.py
+++ b/turmericrudder/daemon/configurator.py
@@ -28,11 +28,18 @@
     :param manifest: hash of the revision's manifest.
     :param peer: peer address of an instance to fetch it from, ``None`` to fetch
         it from the store.
+    :param era: the era of the store in which the revision was accepted.
     """
 
     revision: int
     manifest: str
     peer: str | None
+    era: int
+
+    @property
+    def position(self):
+        """The place of the revision among all revisions, as a tuple to compare."""
+        return self.era, self.revision
 
 
 class Configurator:
@@ -43,6 +50,7 @@
 
     :ivar configuration: the configuration in force, ``None`` if there is none.
     :ivar manifest: hash of its manifest, empty if there is none.
+    :ivar era: the era of the store in which it was accepted, 0 if there is none.
     :ivar on_change: called without arguments when a revision came into force;
         to be set before :meth:`run`.
     """
@@ -56,6 +64,7 @@
         "_submitted_revisions",
         "_workspace",
         "configuration",
+        "era",
         "manifest",
         "on_change",
     )
@@ -67,6 +76,7 @@
             returns the bytes of a manifest or chunk.
         """
         self.configuration = None
+        self.era = 0
         self.manifest = ""
         self.on_change = None
         self._workspace = settings.workspace
@@ -84,6 +94,11 @@
         """The number of the revision in force, 0 if there is none."""
         return self.configuration.revision if self.configuration else 0
 
+    @property
+    def position(self):
+        """The place of the revision in force among all, as a tuple to compare."""
+        return self.era, self.revision
+
     def get_blob(self, name):
         """Return the bytes of a manifest or chunk of the revision in force.
 
@@ -92,7 +107,7 @@
         """
         return self._blobs.get(name)
 
-    def submit_revision(self, revision, manifest, peer=None):
+    def submit_revision(self, revision, manifest, peer=None, era=0):
         """Queue an accepted revision to be put in force by :meth:`run`.
 
         It is ignored if it is not newer than the one in force, or if the queue is
@@ -101,19 +116,19 @@
         :param manifest: hash of the revision's manifest.
         :param peer: peer address of an instance to fetch it from, ``None`` to
             fetch it from the store.
+        :param era: the era of the store in which it was accepted.
         """
-        if revision > self.revision:
+        submitted = _SubmittedRevision(revision, manifest, peer, era)
+        if submitted.position > self.position:
             try:
-                self._submitted_revisions[0].send_nowait(
-                    _SubmittedRevision(revision, manifest, peer)
-                )
+                self._submitted_revisions[0].send_nowait(submitted)
             except anyio.WouldBlock:
                 return
 
     async def run(self):
         """Fetch, compile and put in force the queued revisions until cancelled."""
         async for submitted in self._submitted_revisions[1]:
-            if submitted.revision <= self.revision:
+            if submitted.position <= self.position:
                 continue
             try:
                 await self._apply(submitted)
@@ -145,11 +160,12 @@
             raise ConfigurationInvalid(
                 "parameters.ini", "workspace", "name", configuration.workspace
             )
-        if manifest.revision <= self.revision:
+        if manifest.position <= self.position:
             return
         self._blobs = blobs
         self._block_chunk_names = manifest.chunks[1:]
         self.configuration = configuration
+        self.era = manifest.era
         self.manifest = submitted.manifest
         self._log.write(
             catalogue.REVISION_IN_FORCE,
--- a/turmericrudder/daemon/entry_instance.py
+++ b/turmericrudder/daemon/entry_instance.py
@@ -274,10 +274,11 @@
             self.configurator.manifest,
             prefix,
             self.dispatcher.allocator.get_free_slots(anyio.current_time()),
+            self.configurator.era,
         )
 
-    def _submit_revision(self, member, revision, manifest):
-        self.configurator.submit_revision(revision, manifest, member.peer_address)
+    def _submit_revision(self, member, revision, manifest, era):
+        self.configurator.submit_revision(revision, manifest, member.peer_address, era)
 
     def _apply_configuration(self):
         """Apply the configuration in force; if it is the first, become live."""
--- a/turmericrudder/daemon/membership.py
+++ b/turmericrudder/daemon/membership.py
@@ -48,7 +48,7 @@
     :ivar own_member: the record of this instance.
     :ivar on_change: called without arguments when the view or an
         operation-key prefix has changed; ``None`` for no call.
-    :ivar on_revision: called with (member, revision, manifest hash) when an
+    :ivar on_revision: called with (member, revision, manifest hash, era) when an
         instance reports its configuration revision; ``None`` for no call.
     """
 
@@ -249,11 +249,12 @@
             heartbeat.revision,
             heartbeat.manifest,
             tuple(members),
+            heartbeat.era,
         )
 
     def _handle_reconcile(self, message, sender):
         self._merge((message.member, *message.members), message.member.failure_domain)
-        self._notify_revision(message.member, message.revision, message.manifest)
+        self._notify_revision(message.member, message)
         if message.members:
             sender_view = MembershipView(message.members)
             newer = [m for m in self.view if sender_view.merge(m)]
@@ -282,7 +283,7 @@
         self._failure_detector.record_heartbeat(heartbeat.name, self._clock())
         previous = self._heartbeats.get(heartbeat.name)
         self._heartbeats[heartbeat.name] = heartbeat
-        self._notify_revision(member, heartbeat.revision, heartbeat.manifest)
+        self._notify_revision(member, heartbeat)
         if previous is None or previous.key_prefix != heartbeat.key_prefix:
             self._notify_change()
 
@@ -344,9 +345,9 @@
         if self.on_change is not None:
             self.on_change()
 
-    def _notify_revision(self, member, revision, manifest):
-        if self.on_revision is not None and revision:
-            self.on_revision(member, revision, manifest)
+    def _notify_revision(self, member, message):
+        if self.on_revision is not None and message.revision:
+            self.on_revision(member, message.revision, message.manifest, message.era)
 
 
 def _is_refutation(previous, member):
--- a/turmericrudder/daemon/status.py
+++ b/turmericrudder/daemon/status.py
@@ -64,6 +64,7 @@
     :param manifest: hash of its manifest.
     :param members: all instances in the view, including the one that reports.
     :param targets: the targets that the instance owns.
+    :param era: the era of the store in which that revision was accepted.
     """
 
     name: str
@@ -72,6 +73,12 @@
     manifest: str
     members: list[MemberStatus]
     targets: list[TargetStatus]
+    era: int = 0
+
+    @property
+    def position(self):
+        """The place of the revision among all revisions, as a tuple to compare."""
+        return self.era, self.revision
 
 
 def build_status(instance):
@@ -84,6 +91,7 @@
         manifest=instance.configurator.manifest,
         members=_build_members(instance),
         targets=_build_targets(instance),
+        era=instance.configurator.era,
     )
 
 
--- a/turmericrudder/daemon/store_reader.py
+++ b/turmericrudder/daemon/store_reader.py
@@ -53,14 +53,17 @@
                 continue
             self._record_reachable(True)
             if head is not None:
-                self._configurator.submit_revision(head.revision, head.manifest)
+                self._submit(head)
                 await self._wait_in_force(head)
 
     async def _wait_in_force(self, head):
         """Submit a revision until it is in force, since fetching it can fail."""
-        while self._configurator.revision < head.revision and self._may_read():
+        while self._configurator.position < head.position and self._may_read():
             await anyio.sleep(RETRY_DELAY)
-            self._configurator.submit_revision(head.revision, head.manifest)
+            self._submit(head)
+
+    def _submit(self, head):
+        self._configurator.submit_revision(head.revision, head.manifest, era=head.era)
 
     def _may_read(self):
         if not self._configurator.revision:
