Keep an evacuation that a restore lost, also over a second reading of the store

Callers' requests went to an evacuated failure domain: instances that read the restored store twice within the grace time took the missing evacuation for one that was taken back, and an evacuation that was written anew at the revision of a withdrawn one was ignored. What is known from an earlier era only is now withheld in each reading, and what a restore lost is not remembered as removed. Evacuations of a restored store are always applied.

--- a/turmericrudder/gateway/known_entries.py
+++ b/turmericrudder/gateway/known_entries.py
@@ -50,6 +50,10 @@
             if key not in entries and self.get_revision(key) <= revision
         ]
 
+    def is_lost(self, key):
+        """Return whether a key was known in an earlier era only."""
+        return key in self._earlier
+
     def is_unchanged(self, entry):
         """Return whether an entry was known in an earlier era already."""
         return self._earlier.get(entry.key) == entry
@@ -69,8 +73,8 @@
 
     def remove(self, key):
         """Remove a key that is no longer in the store."""
-        earlier = self._earlier.pop(key, None)
-        entry = self._current.pop(key, earlier)
+        self._earlier.pop(key, None)
+        entry = self._current.pop(key, None)
         if entry is None:
             return
         self._removed.pop(key, None)
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -322,9 +322,11 @@
             self.change_log.release(withheld)
         if event.revision == known_revision:
             return
-        self.change_log.append(event)
-        if self._known.is_removed(event):
+        if not event.key.startswith(protocol.EVACUATION_PREFIX) and (
+            self._known.is_removed(event)
+        ):
             return
+        self.change_log.append(event)
         is_unchanged = self._known.is_unchanged(event)
         self._known.put(event)
         if is_unchanged:
@@ -368,7 +370,8 @@
             cached_state.remove_member(get_member_name(key), deletion.revision)
 
     def _may_be_rewritten(self, key):
-        return key.startswith((protocol.TARGET_PREFIX, protocol.MEMBER_PREFIX))
+        is_leased = key.startswith((protocol.TARGET_PREFIX, protocol.MEMBER_PREFIX))
+        return is_leased or self._known.is_lost(key)
 
     def _is_in_grace_period(self):
         recovered_at = self._recovered_at
