--- a/soak/environment.py
+++ b/soak/environment.py
@@ -141,6 +141,7 @@
         self.gateways = [self._make_gateway(n, gateways) for n in range(gateways)]
         self._sequence = 1
         self._configuration_version = 0
+        self._written = {}
 
     async def start(self, tasks):
         """Start everything, servers and proxies in a task group."""
@@ -220,8 +221,15 @@
 
     def put(self, key, value):
         """Write a key of the store, or remove it if the value is ``None``."""
+        self._written[key] = value
         self.store.put_document(key, value)
 
+    def restore_store(self, copy):
+        """Restore the store from a copy and write again what it has lost."""
+        self.store.restore(copy)
+        for key, value in self._written.items():
+            self.store.put_document(key, value)
+
     def set_store_fault(self, **fault):
         """Replace the fault of the store; without arguments, end it."""
         self.store.set_fault(StoreFault(**fault))
--- a/soak/run.py
+++ b/soak/run.py
@@ -32,6 +32,8 @@
 # Seconds from a change until the store falls silent; the next watches are lost then.
 SILENCE_DELAY = 0.05
 CONFIGURATION_TIME = 2.5  # seconds until a change is in force
+RESTORE_INTERVAL = (0.5, 3.0)  # seconds from a restore of the store to the next copy
+COPY_AGE = (0.1, 3.0)  # seconds from a copy of the store to its restoration
 DRAIN_TIME = 2.5  # seconds until a draining target gets no new requests
 DRAIN_CHECK_TIME = 1.0  # seconds after DRAIN_TIME in which no request may arrive
 
@@ -92,6 +94,7 @@
             async with anyio.create_task_group() as faults:
                 end = anyio.current_time() + seconds
                 faults.start_soon(self._change_configuration, end)
+                faults.start_soon(self._restore_store, end)
                 while anyio.current_time() < end:
                     faults.start_soon(self._inject_fault, *self._draw_fault())
                     await anyio.sleep(self._random.uniform(*FAULT_INTERVAL))
@@ -225,6 +228,18 @@
                 await anyio.sleep(SILENCE_DELAY)
                 await self._fail_store({"silent": True}, rng.uniform(*FAULT_DURATION))
 
+    async def _restore_store(self, end):
+        """Restore the store from copies until a time."""
+        rng = random.Random(f"{self.result.seed} restore")
+        while True:
+            await anyio.sleep(rng.uniform(*RESTORE_INTERVAL))
+            copy = self._environment.store.take_copy()
+            await anyio.sleep(rng.uniform(*COPY_AGE))
+            if anyio.current_time() >= end:
+                return
+            self.result.faults.append("store restored")
+            self._environment.restore_store(copy)
+
     async def _fail_target(self, number_and_fault, seconds):
         number, fault = number_and_fault
         self._environment.set_target_fault(number, **fault)
