Log the targets that end and the requests in progress at them

Nothing told a request that ends targets from those that merely were in progress. A target whose connection closes under a request is probed with a new connection; if it is refused, the line target_ended names the digests of the requests that broke off. No decision uses it yet.

--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,6 +9,7 @@
 from turmericrudder.cancellation import RequestCancelled
 from turmericrudder.errors import ConnectFailed, ResponseFailed
 from turmericrudder.gateway.client_request import ClientRequest
+from turmericrudder.gateway.crash_monitor import CrashMonitor
 from turmericrudder.gateway.forwarder import Forwarder
 from turmericrudder.gateway.outcome import CompleteResponse, LocalResponse
 from turmericrudder.gateway.retry_state import MIN_RETRY_AFTER
@@ -35,6 +36,7 @@
     """
 
     requests_sent = 0
+    is_lost = False
 
     def __init__(self, step, limit=None):
         self.delay, self.status = step
@@ -111,7 +113,14 @@
     catalog, balancer = make_balancer(*map(make_endpoint, targets))
     log = SimpleNamespace(write=lambda *_, **__: None)
     forwarder = Forwarder(
-        SETTINGS, catalog, balancer, pool, ["here"], LoadCollector(), log
+        SETTINGS,
+        catalog,
+        balancer,
+        pool,
+        ["here"],
+        LoadCollector(),
+        CrashMonitor(log),
+        log,
     )
     forwarder._retry_budgets["s"] = budget or CountingBudget(9)
     return catalog, forwarder
--- a/turmericrudder/events/catalogue.py
+++ b/turmericrudder/events/catalogue.py
@@ -254,6 +254,13 @@
     612, "target_unlimited", INFO, "target no longer names a limit on its requests"
 )
 
+TARGET_ENDED = Event(
+    613,
+    "target_ended",
+    WARNING,
+    "target ended while the listed requests were in progress at it",
+)
+
 LOOKUP_ANSWERED = Event(
     701, "lookup_answered", DEBUG, "look-up returned a list of entry instances"
 )
--- a/turmericrudder/gateway/body_reader.py
+++ b/turmericrudder/gateway/body_reader.py
@@ -55,6 +55,7 @@
                 return
             if size > MAX_BUFFERED_BODY_BYTES:
                 request.body = None
+                request.body_start = b"".join(chunks)
                 request.body_stream = self._iter_rest(request, chunks, size)
                 return
 
--- a/turmericrudder/gateway/client_request.py
+++ b/turmericrudder/gateway/client_request.py
@@ -1,5 +1,6 @@
 """A client's request and the head that is sent to targets for it."""
 
+import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,6 +17,10 @@
     (b"content-length", protocol.DEADLINE_HEADER, protocol.EXPECTED_INSTANCE_HEADER)
 )
 
+FINGERPRINT_BYTES = 16
+# Headers that name the caller. Others may differ each time a request is sent.
+_CALLER_HEADERS = frozenset((b"authorization", b"cookie", b"host", b"user-agent"))
+
 
 def _is_never_disconnected():
     return False
@@ -40,6 +45,7 @@
     :param body_stream: async iterator of the body's bytes as sent on the connection:
         in HTTP's chunked encoding if ``body_length`` is ``None``.
     :param body_length: the body's length in bytes, or ``None`` if it is chunked.
+    :param body_start: what was buffered of a body that is streamed.
     :param is_disconnected: function that returns whether the client has disconnected;
         nothing more is sent to targets then.
     """
@@ -58,7 +64,29 @@
     body: bytes | None = b""
     body_stream: object = None
     body_length: int | None = 0
+    body_start: bytes = b""
     is_disconnected: Callable[[], bool] = _is_never_disconnected
+    _fingerprint: str | None = None
+
+    def get_fingerprint(self):
+        """Return a digest that is equal if the same caller sends the request again.
+
+        It covers the method, the path and query, the caller and the body, of a streamed
+        one the buffered start and the length.
+        """
+        if self._fingerprint is None:
+            digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+            length = b"" if self.body_length is None else b"%d" % self.body_length
+            parts = [self.method.encode(), self.request_target, length]
+            for name, value in sorted(self.headers):
+                if name in _CALLER_HEADERS:
+                    parts += (name, value)
+            parts.append(self.body_start if self.body is None else self.body)
+            for part in parts:
+                digest.update(b"%d:" % len(part))
+                digest.update(part)
+            self._fingerprint = digest.hexdigest()
+        return self._fingerprint
 
     def make_head(self, target_id, now):
         """Return the head of the request to a target as bytes.
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -47,6 +47,7 @@
     :param members: the live instances, which share the retry budget's fixed extra.
     :param load_collector: a :class:`~turmericrudder.steering.LoadCollector` for the
         targets' load reports.
+    :param crash_monitor: a :class:`~.crash_monitor.CrashMonitor`.
     :param log: for the events of targets; those of a request are in its buffer.
     :ivar scopes: :class:`RequestScopes` of the requests in flight.
     :ivar stops_at: monotonic time from which this instance may cancel them; no attempt
@@ -58,6 +59,7 @@
         "_balancer",
         "_catalog",
         "_connection_pool",
+        "_crash_monitor",
         "_load_collector",
         "_log",
         "_members",
@@ -69,7 +71,15 @@
     )
 
     def __init__(
-        self, settings, catalog, balancer, connection_pool, members, load_collector, log
+        self,
+        settings,
+        catalog,
+        balancer,
+        connection_pool,
+        members,
+        load_collector,
+        crash_monitor,
+        log,
     ):
         self._settings = settings
         self._catalog = catalog
@@ -77,6 +87,7 @@
         self._connection_pool = connection_pool
         self._members = members
         self._load_collector = load_collector
+        self._crash_monitor = crash_monitor
         self._log = log
         self._retry_budgets = {}
         self._started_at = anyio.current_time()
@@ -208,6 +219,8 @@
         except ResponseFailed as exc:
             target.record_failure(anyio.current_time())
             outcome = ResponseFailure(str(exc))
+            if connection.is_lost:
+                self._crash_monitor.record_lost_attempt(request, target)
         finally:
             target.end_request(attempt_number)
             if connection is not None:
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -25,6 +25,7 @@
 )
 from .cached_state import CachedState
 from .client_application import ClientApplication
+from .crash_monitor import CrashMonitor
 from .forwarder import Forwarder
 from .load_exchange import LoadExchange
 from .members import Members
@@ -96,6 +97,7 @@
         catalog = self.cached_state.catalog
         balancer = Balancer(settings, catalog, self.members, self._random)
         load_collector = LoadCollector()
+        self.crash_monitor = CrashMonitor(self.log)
         self.forwarder = Forwarder(
             settings,
             catalog,
@@ -103,6 +105,7 @@
             self.connection_pool,
             self.members,
             load_collector,
+            self.crash_monitor,
             self.log,
         )
         peer_client = PeerClient()
@@ -176,6 +179,7 @@
             "watch_seconds": self.store_sync.get_watch_duration(),
             "configuration_version": self.cached_state.version or 0,
             "limited_targets": self.cached_state.catalog.count_limited(),
+            "ended_targets": self.crash_monitor.ended_count,
             "connections_opened": self.connection_pool.opened_count,
             "load_exchanges": self.load_exchange.exchange_count,
             "lowered_weights": len(self.load_exchange.get_weights()),
@@ -197,6 +201,7 @@
                 )
                 tasks.start_soon(self.store_sync.run)
                 tasks.start_soon(self.load_exchange.run)
+                tasks.start_soon(self.crash_monitor.run)
                 tasks.start_soon(self._register)
                 tasks.start_soon(self._run_housekeeping)
                 async for signal_number in signals:
--- a/turmericrudder/gateway/upstream_connection.py
+++ b/turmericrudder/gateway/upstream_connection.py
@@ -56,11 +56,13 @@
 
     :ivar round_trip: seconds that opening the connection took.
     :ivar requests_sent: number of requests sent on the connection.
+    :ivar is_lost: whether the connection ended while a request was in progress on it.
     """
 
     def __init__(self):
         self.round_trip = None
         self.requests_sent = 0
+        self.is_lost = False
         self._parser = ResponseParser()
         self._transport = None
         self._has_request = False
@@ -187,11 +189,13 @@
         self._notify_waiter()
 
     def eof_received(self):
+        self._record_loss()
         self._handle_end(None)
 
     def connection_lost(self, exc):
         self._is_closed = True
         self._drained.set()
+        self._record_loss()
         self._handle_end(f"connection lost: {exc!r}" if exc else "closed")
 
     def pause_writing(self):
@@ -200,6 +204,11 @@
     def resume_writing(self):
         self._drained.set()
 
+    def _record_loss(self):
+        parser = self._parser
+        if self._has_request and not parser.is_complete and parser.error is None:
+            self.is_lost = True
+
     def _handle_end(self, reason):
         self._parser.must_close = True
         if self._has_request and not self._parser.is_complete:
