Block a request under which targets end one after another

Callers got 502 and 503 for half of their requests, as one request that came again and again ended each target that began to run it: it was retried, hedged, and accepted again at any instance, since an attempt whose connection closes counted against its target only.

Each request that was in progress at a target that ended is now reported to all instances in the store, by a digest of what its caller repeats; a response of any target clears it. Once three targets have ended under it, each after the end before was known, it is rejected as not run (503), or with 502 if the same attempt may have run. Ends at the same moment do not add up, and a target counts against the request under which most ended. A request with reports is not hedged, with two in a row not retried. Reports expire after ten minutes; an instance keeps 512 of its own and 4,096 of all.

--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -1,6 +1,7 @@
 """Requests that end each target that begins to run them, at two gateways."""
 
 import itertools
+import random
 
 import anyio
 import pytest
@@ -122,3 +123,33 @@
     for _ in range(10):
         assert (await rig.send_request("/read/d")).status == 503
     assert sum(len(target.ends) for target in targets) == ends
+
+
+@pytest.mark.anyio
+async def test_no_request_is_refused_when_targets_end_by_other_causes(fleet):
+    """One path is requested all the time, the others once."""
+    rig, targets = fleet
+    rng = random.Random(5)
+    statuses = []
+
+    async def send_unique():
+        for number in itertools.count():
+            await rig.send_request(f"/read/u{number}", port_offset=SECOND_GATEWAY)
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(4):
+            tasks.start_soon(
+                _send_repeatedly, rig, "/read/popular", "GET", statuses, 0.01
+            )
+            tasks.start_soon(
+                _send_repeatedly, rig, "/write/popular", "POST", statuses, 0.01
+            )
+            tasks.start_soon(send_unique)
+        for _ in range(12):
+            for target in rng.sample(targets, 3):
+                target.crash()
+            await anyio.sleep(0.6)
+            for offset in (0, SECOND_GATEWAY):
+                assert await rig.get_metric(offset, "blocked_requests") == 0
+        tasks.cancel_scope.cancel()
+    assert await rig.get_metric(0, "ended_targets") > 3
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -13,7 +13,7 @@
 from turmericrudder.gateway.forwarder import Forwarder
 from turmericrudder.gateway.outcome import CompleteResponse, LocalResponse
 from turmericrudder.gateway.retry_state import MIN_RETRY_AFTER
-from turmericrudder.steering import LoadCollector, RequestKind
+from turmericrudder.steering import CrashLedger, LoadCollector, RequestKind
 
 from .steering_makers import SETTINGS, make_balancer, make_endpoint, make_route
 
@@ -119,7 +119,7 @@
         pool,
         ["here"],
         LoadCollector(),
-        CrashMonitor(log),
+        CrashMonitor(SimpleNamespace(crash_ledger=CrashLedger()), None, log),
         log,
     )
     forwarder._retry_budgets["s"] = budget or CountingBudget(9)
--- a/turmericrudder/events/catalogue.py
+++ b/turmericrudder/events/catalogue.py
@@ -105,6 +105,12 @@
     WARNING,
     "own registration could not be written, renewed or removed in the store",
 )
+CRASH_REPORT_UNKEPT = Event(
+    309,
+    "crash_report_unkept",
+    WARNING,
+    "reports of targets that ended could not be written to the store",
+)
 ENTRY_KEPT = Event(
     308, "entry_kept", INFO, "own registration is renewed in the store again"
 )
@@ -261,6 +267,20 @@
     "target ended while the listed requests were in progress at it",
 )
 
+REQUEST_BLOCKED = Event(
+    614,
+    "request_blocked",
+    WARNING,
+    "targets ended under a request one after another; it is rejected for some minutes",
+)
+
+REQUEST_UNBLOCKED = Event(
+    615,
+    "request_unblocked",
+    INFO,
+    "request is accepted again: a target has run it, or the reports have expired",
+)
+
 LOOKUP_ANSWERED = Event(
     701, "lookup_answered", DEBUG, "look-up returned a list of entry instances"
 )
--- a/turmericrudder/gateway/cached_state.py
+++ b/turmericrudder/gateway/cached_state.py
@@ -3,7 +3,7 @@
 import anyio
 
 from ..events import catalogue
-from ..steering import EndpointCatalog, RouteTable
+from ..steering import CrashLedger, EndpointCatalog, RouteTable
 
 __all__ = ["CachedState"]
 
@@ -17,6 +17,8 @@
     :ivar members: the :class:`~turmericrudder.gateway.members.Members`.
     :ivar catalog: the registered targets, an
         :class:`~turmericrudder.steering.EndpointCatalog`.
+    :ivar crash_ledger: the :class:`~turmericrudder.steering.CrashLedger` of all
+        instances' reports.
     :ivar route_table: of the configuration in force, or ``None``.
     """
 
@@ -27,6 +29,7 @@
         "_on_own_removed",
         "_own_name",
         "catalog",
+        "crash_ledger",
         "members",
         "route_table",
     )
@@ -47,6 +50,7 @@
         self._configured = anyio.Event()
         self.members = members
         self.catalog = EndpointCatalog()
+        self.crash_ledger = CrashLedger()
         self.route_table = None
 
     @property
@@ -139,6 +143,27 @@
         if self.members.remove(name):
             self._log.write(catalogue.MEMBER_FAILED, member=name, revision=revision)
 
+    def add_crash_report(self, report):
+        """Add a report of this or another instance; return whether it is new."""
+        blocked = self.crash_ledger.get_blocked()
+        if not self.crash_ledger.add(report):
+            return False
+        self._log_blocked(blocked)
+        return True
+
+    def remove_crash_report(self, fingerprint, target):
+        """Remove a report that was withdrawn or has expired."""
+        blocked = self.crash_ledger.get_blocked()
+        self.crash_ledger.remove(fingerprint, target)
+        self._log_blocked(blocked)
+
+    def _log_blocked(self, previous):
+        blocked = self.crash_ledger.get_blocked()
+        for fingerprint in sorted(blocked - previous):
+            self._log.write(catalogue.REQUEST_BLOCKED, request=fingerprint)
+        for fingerprint in sorted(previous - blocked):
+            self._log.write(catalogue.REQUEST_UNBLOCKED, request=fingerprint)
+
     def mark_synced(self):
         """Record that the store was read completely; targets added later are cold."""
         self.catalog.has_synced = True
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -39,6 +39,10 @@
 # No hedge is sent if more than this fraction of the retry budget would be in use
 # afterwards. The rest is left to retries.
 HEDGE_BUDGET_FRACTION = 0.5
+# Seconds after which a client may send a blocked request again. It is blocked for
+# minutes after the last target has ended under it.
+BLOCKED_RETRY_AFTER = 60.0
+BLOCKED_REASON = "ends_targets"
 
 
 class Forwarder:
@@ -105,6 +109,8 @@
             :class:`LocalResponse`.
         """
         state = RetryState(request)
+        if self._crash_monitor.is_blocked(request):
+            return state.make_failure_response(BLOCKED_REASON, BLOCKED_RETRY_AFTER)
         with self.scopes.open(request.expires):
             return await self._run_attempts(state)
         return state.make_timeout_response()
@@ -133,7 +139,8 @@
                 )
             self._balancer.record_attempt(selection, selection_request, now)
             outcome = await self._run_attempt_with_hedge(state, selection, now)
-            if not state.may_retry(outcome):
+            may_retry = state.may_retry(outcome)
+            if not (may_retry and self._crash_monitor.may_retry(request)):
                 return state.make_final_response(outcome, selection.expected_latency)
 
     async def _run_attempt_with_hedge(self, state, selection, now):
@@ -154,6 +161,8 @@
         :param first: the :class:`~turmericrudder.steering.Selection` of the attempt
             in flight.
         """
+        if self._crash_monitor.get_depth(state.request):
+            return None
         now = anyio.current_time()
         selection_request = self._make_selection_request(
             state, first.target.endpoint.id
@@ -203,6 +212,9 @@
             )
             _raise_if_disconnected(request)
             now = anyio.current_time()
+            known_depth = max(
+                self._crash_monitor.get_depth(request), state.lost_attempt_count
+            )
             state.record_attempt()
             _log_attempt_started(
                 request, selection, now, connection.requests_sent == 0, is_hedge
@@ -220,7 +232,8 @@
             target.record_failure(anyio.current_time())
             outcome = ResponseFailure(str(exc))
             if connection.is_lost:
-                self._crash_monitor.record_lost_attempt(request, target)
+                state.lost_attempt_count += 1
+                self._crash_monitor.record_lost_attempt(request, target, known_depth)
         finally:
             target.end_request(attempt_number)
             if connection is not None:
@@ -258,6 +271,7 @@
             raise ResponseFailed("unsigned 2xx response")
         body = await connection.read_all(HIGH_WATERMARK_BYTES)
         now = anyio.current_time()
+        self._crash_monitor.record_response(request)
         if body is None:
             return StreamingResponse(connection.status, connection.headers, connection)
         self._record_response(
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -26,6 +26,7 @@
 from .cached_state import CachedState
 from .client_application import ClientApplication
 from .crash_monitor import CrashMonitor
+from .crash_publisher import CrashPublisher
 from .forwarder import Forwarder
 from .load_exchange import LoadExchange
 from .members import Members
@@ -97,7 +98,12 @@
         catalog = self.cached_state.catalog
         balancer = Balancer(settings, catalog, self.members, self._random)
         load_collector = LoadCollector()
-        self.crash_monitor = CrashMonitor(self.log)
+        self.store = MetadataStoreClient(settings.store)
+        self.crash_monitor = CrashMonitor(
+            self.cached_state,
+            CrashPublisher(self.store, self.members, self.log),
+            self.log,
+        )
         self.forwarder = Forwarder(
             settings,
             catalog,
@@ -119,7 +125,6 @@
             peer_client,
             self.log,
         )
-        self.store = MetadataStoreClient(settings.store)
         self.store_sync = StoreSync(
             self.cached_state, self.store, peer_client, self.log
         )
@@ -179,6 +184,8 @@
             "watch_seconds": self.store_sync.get_watch_duration(),
             "configuration_version": self.cached_state.version or 0,
             "limited_targets": self.cached_state.catalog.count_limited(),
+            "blocked_requests": len(self.cached_state.crash_ledger.get_blocked()),
+            "crash_reports": len(self.cached_state.crash_ledger),
             "ended_targets": self.crash_monitor.ended_count,
             "connections_opened": self.connection_pool.opened_count,
             "load_exchanges": self.load_exchange.exchange_count,
--- a/turmericrudder/gateway/retry_state.py
+++ b/turmericrudder/gateway/retry_state.py
@@ -20,6 +20,7 @@
     """Counts the attempts of a request and makes its final response.
 
     :ivar attempt_count: attempts for which a connection was established.
+    :ivar lost_attempt_count: attempts whose connection ended before the response did.
     :ivar attempted_ids: ids of all targets chosen so far, including those that refused
         the connection.
     """
@@ -30,6 +31,7 @@
         "attempt_count",
         "attempted_ids",
         "connect_failures",
+        "lost_attempt_count",
         "request",
     )
 
@@ -37,6 +39,7 @@
         self.request = request
         self.attempt_count = 0
         self.connect_failures = 0
+        self.lost_attempt_count = 0
         self.attempted_ids = set()
         self._possible_executions = 0
         self._server_error = None
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -14,6 +14,7 @@
 from ..events import catalogue
 from ..platform import (
     Deletion,
+    decode_crash_report,
     decode_endpoint,
     decode_member,
     decode_routing_configuration,
@@ -355,6 +356,8 @@
             cached_state.put_member(
                 decode_member(entry.key, entry.value), entry.revision
             )
+        elif entry.key.startswith(protocol.CRASH_PREFIX):
+            cached_state.add_crash_report(decode_crash_report(entry.key, entry.value))
 
     def _apply_deletion(self, deletion):
         if self._withheld.pop(deletion.key, None) is not None:
@@ -368,6 +371,12 @@
             cached_state.remove_target(get_target_id(key), deletion.revision)
         elif key.startswith(protocol.MEMBER_PREFIX):
             cached_state.remove_member(get_member_name(key), deletion.revision)
+        elif key.startswith(protocol.CRASH_PREFIX):
+            try:
+                report = decode_crash_report(key)
+            except StoreEntryInvalid:
+                return  # it was refused when it was written
+            cached_state.remove_crash_report(report.fingerprint, report.target)
 
     def _may_be_rewritten(self, key):
         is_leased = key.startswith((protocol.TARGET_PREFIX, protocol.MEMBER_PREFIX))
--- a/turmericrudder/platform/__init__.py
+++ b/turmericrudder/platform/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from . import protocol
+from .crash_reports import decode_crash_report, encode_crash_report, get_crash_key
 from .evacuations import get_evacuated_domain
 from .members import decode_member, encode_member, get_member_key, get_member_name
 from .resolution import decode_directory_request, encode_directory_response
@@ -18,12 +19,15 @@
     "Page",
     "StoreEntry",
     "WatchResponse",
+    "decode_crash_report",
     "decode_directory_request",
     "decode_endpoint",
     "decode_member",
     "decode_routing_configuration",
+    "encode_crash_report",
     "encode_directory_response",
     "encode_member",
+    "get_crash_key",
     "get_evacuated_domain",
     "get_member_key",
     "get_member_name",
--- a/turmericrudder/platform/protocol.py
+++ b/turmericrudder/platform/protocol.py
@@ -4,6 +4,7 @@
     "AFFINITY_KEY_HEADER",
     "ATTEMPT_ID_HEADER",
     "CONFIGURATION_KEY",
+    "CRASH_PREFIX",
     "DEADLINE_HEADER",
     "EVACUATION_PREFIX",
     "EXPECTED_INSTANCE_HEADER",
@@ -63,11 +64,12 @@
 STORE_LEASE_RENEW_PATH = "/turmericrudder/kv-keep"
 STORE_LEASE_REVOKE_PATH = "/turmericrudder/kv-lease-end"
 
-# Keys and key prefixes of the metadata store. Operators write the first two,
-# targets the third, entry instances the fourth. The last one is the prefix of the
+# Keys and key prefixes of the metadata store. Operators write the first two, targets
+# the third, entry instances the fourth and the fifth. The last one is the prefix of the
 # platform's list of instances.
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
 MEMBER_PREFIX = "members/"
+CRASH_PREFIX = "crashes/"
 INSTANCE_PREFIX = "instances/"
--- a/turmericrudder/platform/store_client.py
+++ b/turmericrudder/platform/store_client.py
@@ -227,6 +227,27 @@
         self._check_status(response, protocol.STORE_TRANSACTION_PATH)
         return self._decode(response, _WriteDocument).rev
 
+    async def commit(self, puts, removals, lease=0):
+        """Write and remove keys in one transaction.
+
+        :param puts: {key: value}, of a lease.
+        :param removals: keys; those that do not exist are ignored.
+        :raises LeaseExpired: if the lease does not exist.
+        :raises StoreUnavailable: if it is unknown whether the write took effect.
+        """
+        body = {
+            "expected_rev": [],
+            "puts": [
+                {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+                for key, value in puts.items()
+            ],
+            "remove": list(removals),
+        }
+        response = await self._call("POST", protocol.STORE_TRANSACTION_PATH, body)
+        if response.status == 404:
+            raise LeaseExpired(f"lease {lease} does not exist")
+        self._check_status(response, protocol.STORE_TRANSACTION_PATH)
+
     async def grant_lease(self, ttl):
         """Return the id of a new lease with a TTL in seconds."""
         body = {"ttl_ms": int(ttl * MS_PER_SECOND)}
--- a/turmericrudder/steering/__init__.py
+++ b/turmericrudder/steering/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from .balancer import Balancer
+from .crash_ledger import CrashLedger, CrashReport
 from .endpoint import Endpoint
 from .endpoint_catalog import EndpointCatalog
 from .entry_selection import choose_entry_instances
@@ -33,6 +34,8 @@
     "Backend",
     "Balancer",
     "ClientLimits",
+    "CrashLedger",
+    "CrashReport",
     "Endpoint",
     "EndpointCatalog",
     "GatewayMember",
--- a/turmericrudder/steering/endpoint.py
+++ b/turmericrudder/steering/endpoint.py
@@ -1,11 +1,14 @@
 """The registration of a target."""
 
+import hashlib
 from dataclasses import dataclass
 
 from ..address import Address
 
 __all__ = ["Endpoint"]
 
+DIGEST_BYTES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
@@ -53,6 +56,11 @@
             self.started_at_ms == other.started_at_ms and self.address == other.address
         )
 
+    def get_digest(self):
+        """Return a short text that is equal for the same incarnation only."""
+        text = f"{self.id} {self.started_at_ms} {self.address}"
+        return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
     def is_ranked_like(self, other):
         """Return whether both have the same place in the orders of a service."""
         return (self.service, self.slots, self.failure_domain) == (
