Refuse store entries that cannot be used, also nested ones and numbers out of range

Another writer's entry ended the gateway again and again: a deeply nested field raised RecursionError and a port of thousands of digits ValueError in the task that follows the store; a value that is no ASCII did so for each page. Other entries were taken and failed all requests of their service later: a target with 10**400 slots, an id with a line break or without ASCII in the header of each request, an address with a null byte, one of no single machine. A target could be cold for 10**297 s, and a huge seq kept every later registration out.

One function decodes the documents of others, with the ranges of their values in their types; what is refused is logged and names no target, and the others hold.

--- a/turmericrudder/platform/crash_reports.py
+++ b/turmericrudder/platform/crash_reports.py
@@ -1,11 +1,13 @@
 """Encode and decode the reports of targets that ended, in the store."""
 
 import re
+from typing import Annotated
 
 import msgspec
 
 from ..errors import StoreEntryInvalid
 from ..steering import CrashReport
+from .decoding import decode_document
 from .protocol import CRASH_PREFIX
 
 __all__ = ["decode_crash_report", "encode_crash_report", "get_crash_key"]
@@ -15,7 +17,7 @@
 
 
 class _CrashDocument(msgspec.Struct):
-    depth: int
+    depth: Annotated[int, msgspec.Meta(ge=1, le=MAX_DEPTH)]
 
 
 def get_crash_key(fingerprint, target):
@@ -39,10 +41,5 @@
         raise StoreEntryInvalid(f"report {key!r}: the key names no two digests")
     if value is None:
         return CrashReport(match[1], match[2], 0)
-    try:
-        depth = msgspec.json.decode(value, type=_CrashDocument).depth
-    except (msgspec.DecodeError, RecursionError) as exc:
-        raise StoreEntryInvalid(f"report {key!r}: {exc}") from None
-    if not 0 < depth <= MAX_DEPTH:
-        raise StoreEntryInvalid(f"report {key!r}: depth {depth} is out of range")
-    return CrashReport(match[1], match[2], depth)
+    document = decode_document(f"report {key!r}", value, _CrashDocument)
+    return CrashReport(match[1], match[2], document.depth)
--- a/turmericrudder/platform/members.py
+++ b/turmericrudder/platform/members.py
@@ -1,10 +1,11 @@
 """Encode and decode the registrations of entry instances in the store."""
 
+from typing import Annotated
+
 import msgspec
 
-from ..address import Address
-from ..errors import AddressInvalid, StoreEntryInvalid
 from ..steering import GatewayMember
+from .decoding import MAX_WEIGHT, check_name, decode_document, parse_peer_address
 from .protocol import MEMBER_PREFIX
 
 __all__ = ["decode_member", "encode_member", "get_member_key", "get_member_name"]
@@ -16,7 +17,7 @@
     failure_domain: str
     region: str
     nonce: str
-    capacity: float
+    capacity: Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
 
 
 def get_member_key(name):
@@ -46,14 +47,14 @@
 def decode_member(key, value):
     """Return the :class:`GatewayMember` of a registration.
 
-    :raises StoreEntryInvalid: if a field is missing or has the wrong type.
+    :raises StoreEntryInvalid: if a field is missing, has the wrong type or is out
+        of range.
     """
-    try:
-        document = msgspec.json.decode(value, type=_MemberDocument)
-        address = Address.parse(document.address)
-        peer_address = Address.parse(document.peer_address)
-    except (msgspec.DecodeError, AddressInvalid) as exc:
-        raise StoreEntryInvalid(f"registration {key!r}: {exc}") from None
+    subject = f"registration {key!r}"
+    check_name(subject, get_member_name(key))
+    document = decode_document(subject, value, _MemberDocument)
+    address = parse_peer_address(subject, document.address)
+    peer_address = parse_peer_address(subject, document.peer_address)
     return GatewayMember(
         get_member_name(key),
         address,
--- a/turmericrudder/platform/store_client.py
+++ b/turmericrudder/platform/store_client.py
@@ -1,7 +1,6 @@
 """The HTTP client of the platform's metadata store."""
 
 import base64
-import binascii
 import socket
 from urllib.parse import quote
 
@@ -314,7 +313,7 @@
     def _decode(self, response, document_type):
         try:
             return msgspec.json.decode(response.content, type=document_type)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             raise StoreUnavailable(f"store response is not valid: {exc}") from exc
 
 
@@ -331,7 +330,7 @@
 def _to_entry(document):
     try:
         value = base64.b64decode(document.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         # Decoding an empty value fails, so the reader logs the key as malformed.
         value = b""
     return StoreEntry(document.key, value, document.rev)
--- a/turmericrudder/platform/targets.py
+++ b/turmericrudder/platform/targets.py
@@ -4,10 +4,16 @@
 
 import msgspec
 
-from ..address import Address
-from ..errors import AddressInvalid, StoreEntryInvalid
 from ..steering import Endpoint
 from ..units import MS_PER_SECOND
+from .decoding import (
+    Count,
+    Milliseconds,
+    NonNegativeInteger,
+    check_name,
+    decode_document,
+    parse_peer_address,
+)
 from .protocol import TARGET_PREFIX
 
 __all__ = ["decode_endpoint", "get_target_id"]
@@ -17,12 +23,12 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Count
     state: Literal["ready", "draining"]
-    seq: int
+    seq: NonNegativeInteger
     # Remaining cold start, counted from the write and not from the target's start.
-    cold_left_ms: float = 0.0
-    born: int | None = None
+    cold_left_ms: Milliseconds = 0.0
+    born: NonNegativeInteger | None = None
 
 
 def get_target_id(key):
@@ -34,17 +40,12 @@
     """Return the :class:`Endpoint` of a registration.
 
     :raises StoreEntryInvalid: if a field is missing, has the wrong type or is out
-        of range.
+        of range, or the id does not fit into a header.
     """
-    try:
-        document = msgspec.json.decode(value, type=_TargetDocument)
-        address = Address.parse(document.address)
-    except (msgspec.DecodeError, AddressInvalid) as exc:
-        raise StoreEntryInvalid(f"registration {key!r}: {exc}") from None
-    if document.slots < 1 or document.cold_left_ms < 0:
-        raise StoreEntryInvalid(
-            f"registration {key!r}: slots is below 1 or cold_left_ms below 0"
-        )
+    subject = f"registration {key!r}"
+    check_name(subject, get_target_id(key))
+    document = decode_document(subject, value, _TargetDocument)
+    address = parse_peer_address(subject, document.address)
     return Endpoint(
         id=get_target_id(key),
         service=document.service,
