Refuse a routing configuration with values out of range

Timeouts of 1e297 s or below zero, weights that are negative or all zero, counts of 10**30 and versions that no later one can exceed were put in force and failed later.

--- a/turmericrudder/platform/routing_configuration.py
+++ b/turmericrudder/platform/routing_configuration.py
@@ -1,5 +1,8 @@
 """Decode the operator's routing configuration from its store entry."""
 
+import re
+from typing import Annotated
+
 import msgspec
 
 from ..errors import StoreEntryInvalid
@@ -12,9 +15,23 @@
     ServiceProfile,
 )
 from ..units import MS_PER_SECOND
+from .decoding import (
+    MAX_COUNT,
+    MAX_INTEGER,
+    Count,
+    Milliseconds,
+    NonNegativeInteger,
+    PositiveMilliseconds,
+    Weight,
+    decode_document,
+)
 
 __all__ = ["decode_routing_configuration"]
 
+SUBJECT = "routing configuration"
+MAX_SECONDS = 86_400
+_VERSION_PATTERN = re.compile(r"r?([0-9]{1,15})")
+
 
 class _Table(msgspec.Struct):
     """Rows with their values in the order of ``columns``; ``null`` means omitted."""
@@ -24,15 +41,15 @@
 
 
 class _LimitsDocument(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: NonNegativeInteger
+    max_body_bytes: NonNegativeInteger
+    header_timeout_ms: PositiveMilliseconds
+    idle_timeout_ms: PositiveMilliseconds
 
 
 class _BackendDocument(msgspec.Struct):
     service: str
-    weight: float
+    weight: Weight
 
 
 class _RouteDocument(msgspec.Struct):
@@ -40,10 +57,10 @@
     host: str
     prefix: str
     kind: RequestKind
-    timeout_ms: float
-    slo_ms: float  # latency objective; only a response within it counts in full
-    max_attempts: int = 1
-    priority: int = 0
+    timeout_ms: PositiveMilliseconds
+    slo_ms: Milliseconds  # latency objective; only a response within it counts in full
+    max_attempts: Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)] = 1
+    priority: Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)] = 0
     service: str | None = None
     backends: list[_BackendDocument] | None = None
     affinity: bool = False
@@ -53,9 +70,9 @@
 class _ServiceDocument(msgspec.Struct):
     name: str
     health_path: str = "/health"
-    max_conns: int = 1
-    cold_start_s: float = 0.0
-    cold_per_s: float | None = None
+    max_conns: Count = 1
+    cold_start_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)] = 0.0
+    cold_per_s: Weight | None = None
 
 
 class _ConfigurationDocument(msgspec.Struct):
@@ -68,16 +85,19 @@
 def decode_routing_configuration(value):
     """Return the :class:`RoutingConfiguration` of the operator's document.
 
-    :raises StoreEntryInvalid: if a field is missing or invalid, or a route names
-        no service.
+    :raises StoreEntryInvalid: if a field is missing, invalid or out of range, or a
+        route names no service.
     """
+    document = decode_document(SUBJECT, value, _ConfigurationDocument)
+    match = _VERSION_PATTERN.fullmatch(document.version)
+    if match is None:
+        raise StoreEntryInvalid(f"{SUBJECT}: version {document.version!r} is no number")
+    version = int(match[1])
     try:
-        document = msgspec.json.decode(value, type=_ConfigurationDocument)
         services = _convert_rows(document.services, _ServiceDocument)
         routes = _convert_rows(document.routes, _RouteDocument)
-        version = int(document.version.removeprefix("r"))
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as exc:
-        raise StoreEntryInvalid(f"routing configuration: {exc}") from None
+    except (msgspec.ValidationError, ValueError, RecursionError) as exc:
+        raise StoreEntryInvalid(f"{SUBJECT}: {exc}") from None
     profiles = {service.name: _to_profile(service) for service in services}
     return RoutingConfiguration(
         version=version,
@@ -105,9 +125,9 @@
     elif route.service is not None:
         backends = (Backend(route.service, 1.0),)
     else:
-        raise StoreEntryInvalid(
-            f"routing configuration: route {route.name!r} names no service"
-        )
+        raise StoreEntryInvalid(f"{SUBJECT}: route {route.name!r} names no service")
+    if not any(backend.weight for backend in backends):
+        raise StoreEntryInvalid(f"{SUBJECT}: route {route.name!r} has no weight")
     return Route(
         name=route.name,
         host=route.host.lower(),
