Refuse messages of other instances that cannot be used

A nested message ended the task that follows the peers, and with it the gateway; weights below zero or not a number, and reports with infinite figures, were used.

14 of the 17 cases of tests/test_odd_messages.py failed before.

--- a/turmericrudder/gateway/load_exchange.py
+++ b/turmericrudder/gateway/load_exchange.py
@@ -6,6 +6,8 @@
 exchange: without it an instance decides by its own reports.
 """
 
+from typing import Annotated
+
 import anyio
 import msgspec
 
@@ -23,6 +25,9 @@
 PLAN_INTERVAL = 1.0  # seconds between two plans of the weights
 MAX_REPORT_AGE = 5.0  # seconds; reports with a higher age are rejected as invalid
 
+MAX_AMOUNT = 10**9  # of each number of a report; a report above is invalid
+Weight = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
 
 class _Report(msgspec.Struct, array_like=True):
     """A :class:`TargetReport`, with its age in place of a time.
@@ -49,7 +54,7 @@
     instance: str
     weights_id: str
     reports: list[_Report]
-    weights: dict[str, float] | None = None
+    weights: dict[str, Weight] | None = None
 
 
 class LoadUpdate(msgspec.Struct):
@@ -62,7 +67,7 @@
     """
 
     weights_id: str
-    weights: dict[str, float] | None
+    weights: dict[str, Weight] | None
     reports: list[_Report]
     must_send_weights: bool = False
 
@@ -243,10 +248,10 @@
         age = report.age_ms / MS_PER_SECOND
         if (
             0 <= age <= MAX_REPORT_AGE
-            and report.load >= 0
-            and report.slowdown > 0
-            and report.utilization_sum >= 0
-            and report.count >= 0
+            and 0 <= report.load <= MAX_AMOUNT
+            and 0 < report.slowdown <= MAX_AMOUNT
+            and 0 <= report.utilization_sum <= MAX_AMOUNT
+            and 0 <= report.count <= MAX_AMOUNT
         ):
             yield TargetReport(
                 report.target_id,
--- a/turmericrudder/gateway/peer_sync.py
+++ b/turmericrudder/gateway/peer_sync.py
@@ -4,6 +4,8 @@
 the memory of every process for a few calls in an outage.
 """
 
+from typing import Annotated
+
 import httpcore
 import msgspec
 
@@ -14,7 +16,7 @@
 from .auxiliary_applications import SimpleApplication, write_response
 from .load_exchange import LoadSummary, LoadUpdate
 
-__all__ = ["PeerApplication", "PeerClient", "PeerUpdate"]
+__all__ = ["PeerApplication", "PeerClient", "PeerUpdate", "decode_message"]
 
 PATH = "/beliefs"
 LOADS_PATH = "/loads"
@@ -28,12 +30,14 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # several times a snapshot at the target's size
 TRANSFER_TIMEOUT = 2.0  # seconds for the body, after the wait for the head
 
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
 
 class _Entry(msgspec.Struct, array_like=True):
     """A change of a key; a ``value`` of ``None`` is a deletion."""
 
     key: str
-    revision: int
+    revision: Revision
     value: bytes | None
 
 
@@ -48,11 +52,11 @@
         ``None`` if it has not yet or the instance does not watch the store itself.
     """
 
-    revision: int
+    revision: Revision
     is_whole: bool
     entries: list[_Entry]
     contact_age: float | None = None
-    era: int | None = None
+    era: Revision | None = None
 
     def get_events(self):
         """Return the entries as :class:`StoreEntry` and :class:`Deletion` objects."""
@@ -85,8 +89,8 @@
             if len(body) > MAX_SUMMARY_BYTES:
                 return 413, b"text/plain", b""
         try:
-            summary = msgspec.msgpack.decode(body, type=LoadSummary)
-        except msgspec.DecodeError:
+            summary = decode_message(body, LoadSummary)
+        except PeerUnreachable:
             return 400, b"text/plain", b""
         update = self._instance.load_exchange.handle_summary(summary)
         return 200, b"application/msgpack", msgspec.msgpack.encode(update)
@@ -171,10 +175,18 @@
             raise PeerUnreachable(f"{url}: {exc!r}") from None
         if response.status != 200:
             raise PeerUnreachable(f"{url}: status {response.status}")
-        try:
-            return msgspec.msgpack.decode(response.content, type=message_type)
-        except msgspec.DecodeError as exc:
-            raise PeerUnreachable(f"{url}: {exc}") from None
+        return decode_message(response.content, message_type)
+
+
+def decode_message(packed, message_type):
+    """Return a message of another instance.
+
+    :raises PeerUnreachable: if it cannot be decoded.
+    """
+    try:
+        return msgspec.msgpack.decode(packed, type=message_type)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise PeerUnreachable(f"message of a peer: {exc}") from None
 
 
 def _make_update(change_log, era, after):
