--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -77,6 +77,7 @@
         "_peer_valid_until",
         "_recovered_at",
         "_store",
+        "_store_revision",
         "_unreachable_since",
         "_watch_began_at",
         "_withheld",
@@ -95,6 +96,8 @@
         self._known = KnownEntries()
         self._withheld = {}
         self._is_synced = False
+        # The latest revision that the store itself, not a peer, named in this era.
+        self._store_revision = 0
         self._unreachable_since = None
         self._recovered_at = None
         self._last_contact_at = None
@@ -172,10 +175,10 @@
         page = await self._store.get_all(ALL_KEYS_PREFIX)
         self._check_era(page.era)
         is_same_era = page.era is not None and page.era == self.era
-        if is_same_era and page.revision < self.change_log.revision:
+        if is_same_era and page.revision < self._store_revision:
             raise StoreUnavailable(
                 f"store response has revision {page.revision}, older than"
-                f" {self.change_log.revision}"
+                f" {self._store_revision}"
             )
         self._record_reachable()
         self._log.write(
@@ -188,6 +191,7 @@
         self._apply_snapshot(
             {entry.key: entry for entry in page.entries}, page.revision, page.era
         )
+        self._store_revision = page.revision
 
     async def _watch_changes(self):
         after = self.change_log.revision
@@ -207,6 +211,7 @@
         for event in response.events:
             self._apply_event(event)
         self.change_log.advance(response.revision)
+        self._store_revision = max(self._store_revision, response.revision)
         if response.events:
             await anyio.sleep(BATCH_DELAY)
 
@@ -305,6 +310,7 @@
         self._known.begin_era(era)
         self._cached_state.catalog.begin_era()
         self._withheld.clear()
+        self._store_revision = 0
 
     def _apply_event(self, event):
         known_revision = self._known.get_revision(event.key)
