Reject a deadline of too many digits as a bad request

A client's deadline of 400 digits is a number but no float: the request ended with 500. Found in the search for numbers that decode and fail later. All three cases of test_deadline_of_too_many_digits_is_rejected failed before.

--- a/tests/test_gateway_bad_input.py
+++ b/tests/test_gateway_bad_input.py
@@ -60,3 +60,11 @@
 async def test_request_without_attempt_id_is_rejected(rig):
     assert (await rig.send_request(attempt_id="")).status == 400
     assert rig.get_runs() == []
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("digits", [16, 400, 1500])
+async def test_deadline_of_too_many_digits_is_rejected(rig, digits):
+    deadline = "9" * digits
+    assert (await rig.send_request(deadline_ms=deadline)).status == 400
+    assert rig.get_runs() == []
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -15,6 +15,7 @@
 
 __all__ = ["ClientApplication"]
 
+MAX_DEADLINE_DIGITS = 15  # of the milliseconds that a client waits
 CONFIGURATION_TIMEOUT = 0.4  # seconds a request waits for the first configuration
 
 # A client, this instance and a target could each use another one of several values.
@@ -163,7 +164,7 @@
     value = headers_by_name.get(protocol.DEADLINE_HEADER)
     if value is None:
         return None
-    if not value.isdigit():
+    if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
         raise RequestRejected(
             400, "deadline header is not a whole number of milliseconds"
         )
