--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -21,7 +21,7 @@
     get_hedge_delay,
     parse_rate_limit,
 )
-from ..units import MS_PER_SECOND
+from .attempt_log import log_attempt_ended, log_attempt_started
 from .hedging import run_hedged
 from .outcome import (
     CompleteResponse,
@@ -216,7 +216,7 @@
                 self._crash_monitor.get_depth(request), state.lost_attempt_count
             )
             state.record_attempt()
-            _log_attempt_started(
+            log_attempt_started(
                 request, selection, now, connection.requests_sent == 0, is_hedge
             )
             outcome = await self._send_and_receive(
@@ -238,7 +238,7 @@
             target.end_request(attempt_number)
             if connection is not None:
                 self._release_connection(target, connection, outcome)
-            _log_attempt_ended(request, target, outcome)
+            log_attempt_ended(request, target, outcome)
         return outcome
 
     async def _send_and_receive(self, request, target, connection, sent_at, selection):
@@ -366,37 +366,6 @@
         raise RequestCancelled("client disconnected")
 
 
-def _log_attempt_started(request, selection, now, is_new, is_hedge):
-    target = selection.target
-    request.log_buffer.append(
-        catalogue.ROUTE_SENT,
-        target=target.endpoint.id,
-        service=request.service,
-        failure_domain=target.endpoint.failure_domain,
-        entry_revision=target.revision,
-        expected_ms=round(selection.expected_latency * MS_PER_SECOND, 1),
-        work_ms=round(selection.expected_service_time * MS_PER_SECOND, 1),
-        cost_ms=round(selection.cost * MS_PER_SECOND, 1),
-        object_age=selection.service_time_key,
-        occupancy=round(target.get_load(now), 1),
-        load_age_ms=target.get_load_age_ms(now),
-        limit=target.rate_limiter.limit,
-        left_ms=round((request.expires - now) * MS_PER_SECOND),
-        new_connection=is_new,
-        beside_first=is_hedge,
-    )
-
-
-def _log_attempt_ended(request, target, outcome):
-    request.log_buffer.append(
-        catalogue.ROUTE_ENDED,
-        target=target.endpoint.id,
-        outcome="Cancelled" if outcome is None else outcome.log_name,
-        status=getattr(outcome, "status", None),
-        reason=getattr(outcome, "reason", None),
-    )
-
-
 def _get_not_executed_reason(status, headers):
     """Return a reason if the response says that the request was not executed.
 
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -12,19 +12,10 @@
     StoreUnavailable,
 )
 from ..events import catalogue
-from ..platform import (
-    Deletion,
-    decode_crash_report,
-    decode_endpoint,
-    decode_member,
-    decode_routing_configuration,
-    get_evacuated_domain,
-    get_member_name,
-    get_target_id,
-    protocol,
-)
+from ..platform import Deletion, protocol
 from .change_log import ChangeLog
 from .known_entries import KnownEntries
+from .store_changes import apply_deletion, apply_entry
 
 __all__ = ["StoreSync"]
 
@@ -339,50 +330,15 @@
         if is_unchanged:
             return
         try:
-            self._apply_entry(event)
+            apply_entry(self._cached_state, event)
         except StoreEntryInvalid as exc:
             self._log.write(catalogue.ENTRY_REFUSED, reason=str(exc))
 
-    def _apply_entry(self, entry):
-        cached_state = self._cached_state
-        if entry.key == protocol.CONFIGURATION_KEY:
-            cached_state.set_configuration(
-                decode_routing_configuration(entry.value), entry.revision
-            )
-        elif entry.key.startswith(protocol.EVACUATION_PREFIX):
-            cached_state.evacuate(get_evacuated_domain(entry.key), entry.revision)
-        elif entry.key.startswith(protocol.TARGET_PREFIX):
-            try:
-                endpoint = decode_endpoint(entry.key, entry.value)
-            except StoreEntryInvalid:
-                cached_state.remove_target(get_target_id(entry.key), entry.revision)
-                raise
-            cached_state.put_target(endpoint, entry.revision)
-        elif entry.key.startswith(protocol.MEMBER_PREFIX):
-            cached_state.put_member(
-                decode_member(entry.key, entry.value), entry.revision
-            )
-        elif entry.key.startswith(protocol.CRASH_PREFIX):
-            cached_state.add_crash_report(decode_crash_report(entry.key, entry.value))
-
     def _apply_deletion(self, deletion):
         if self._withheld.pop(deletion.key, None) is not None:
             self.change_log.release(deletion)
         self._known.remove(deletion.key)
-        cached_state = self._cached_state
-        key = deletion.key
-        if key.startswith(protocol.EVACUATION_PREFIX):
-            cached_state.restore(get_evacuated_domain(key), deletion.revision)
-        elif key.startswith(protocol.TARGET_PREFIX):
-            cached_state.remove_target(get_target_id(key), deletion.revision)
-        elif key.startswith(protocol.MEMBER_PREFIX):
-            cached_state.remove_member(get_member_name(key), deletion.revision)
-        elif key.startswith(protocol.CRASH_PREFIX):
-            try:
-                report = decode_crash_report(key)
-            except StoreEntryInvalid:
-                return  # it was refused when it was written
-            cached_state.remove_crash_report(report.fingerprint, report.target)
+        apply_deletion(self._cached_state, deletion)
 
     def _may_be_rewritten(self, key):
         is_leased = key.startswith((protocol.TARGET_PREFIX, protocol.MEMBER_PREFIX))
