Keep the order of the parameters of a peer poll; wait for the reports in a test

Three of test_endless_input call get_update with a revision and a wait: the era is now last, with a default. test_blocked_request_stays_blocked_after_a_restart_of_the_gateway killed the gateway within the tenth of a second in which it writes its reports; what is not written is lost with it.

--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -21,6 +21,9 @@
 MAX_LATE_RETRIES = 3
 
 
+REPORT_TIME = 0.5  # seconds; several times the interval in which reports are written
+
+
 TARGETS = 8
 
 
@@ -107,9 +110,14 @@
         tasks.start_soon(_send_repeatedly, rig, "/read/d", "GET", statuses)
 
         async def is_blocked():
-            return await rig.get_metric(0, "blocked_requests") == 1
+            counts = [
+                await rig.get_metric(offset, "blocked_requests")
+                for offset in (0, SECOND_GATEWAY)
+            ]
+            return counts == [1, 1]
 
         await wait_for(is_blocked, 10.0)
+        await anyio.sleep(REPORT_TIME)
         tasks.cancel_scope.cancel()
     rig.process.kill()
     rig.process.wait()
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -62,7 +62,7 @@
     def __init__(self, update=None):
         self.update = update
 
-    async def get_update(self, address, era, after, wait):
+    async def get_update(self, address, after, wait, era):
         await anyio.sleep(0.01)
         return self.update
 
--- a/turmericrudder/gateway/peer_sync.py
+++ b/turmericrudder/gateway/peer_sync.py
@@ -143,12 +143,12 @@
             msgspec.msgpack.encode(summary),
         )
 
-    async def get_update(self, address, era, after, wait):
+    async def get_update(self, address, after, wait, era=0):
         """Return the :class:`PeerUpdate` of an instance since a revision.
 
-        :param era: the store's era known to the caller, 0 for none.
         :param after: the revision.
         :param wait: seconds that the instance may wait for a change.
+        :param era: the store's era known to the caller, 0 for none.
         :raises PeerUnreachable: if no valid response arrived.
         """
         wait_ms = int(wait * MS_PER_SECOND)
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -216,7 +216,7 @@
             after = self.change_log.revision
             try:
                 update = await self._peer_client.get_update(
-                    address, self.era, after, PEER_POLL_TIMEOUT
+                    address, after, PEER_POLL_TIMEOUT, self.era
                 )
             except PeerUnreachable:
                 # Another peer is polled after the delay, or the store is watched.
