--- a/turmericrudder/gateway/crash_monitor.py
+++ b/turmericrudder/gateway/crash_monitor.py
@@ -83,7 +83,8 @@
     def record_lost_attempt(self, request, target, known_depth):
         """Examine whether a target has ended under a request.
 
-        :param known_depth: :meth:`get_depth` when the request was sent.
+        :param known_depth: :meth:`get_depth` when the request was sent, or the number
+            of its attempts that were lost before, if that is more.
         """
         try:
             self._queue.send_nowait(_LostAttempt(request, target, known_depth + 1))
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -212,6 +212,7 @@
             )
             _raise_if_disconnected(request)
             now = anyio.current_time()
+            # Attempts that were just lost may not have been examined yet.
             known_depth = max(
                 self._crash_monitor.get_depth(request), state.lost_attempt_count
             )
