Remove the reports of targets that ended which are too many from the store

Under a flood of failing targets the store kept each report for ten minutes, hundreds a second of an instance, and a full ledger took no further ones, so that a request that ends targets was no longer told. All instances together now keep about 4,096 reports: what is too much is removed from the store, the oldest of depth 1 first, and a full ledger forgets the oldest request with a single report.

--- a/turmericrudder/gateway/crash_publisher.py
+++ b/turmericrudder/gateway/crash_publisher.py
@@ -14,13 +14,15 @@
 MIN_INTERVAL = 0.1
 INTERVAL_PER_MEMBER = 0.005
 MAX_KEYS_PER_WRITE = 32  # entries of one transaction of the store
-MAX_PUBLISHED = 512  # reports of this instance that are kept; the oldest are dropped
+MAX_PUBLISHED = 4096  # reports of all instances together
+MIN_PUBLISHED = 16  # reports that one of many instances may keep
 
 
 class CrashPublisher:
     """Writes this instance's reports to the store and removes withdrawn ones.
 
-    The store may be restored from an older copy; the reports are then written again.
+    Of too many reports, the oldest of depth 1 are removed first. The store may be
+    restored from an older copy; the reports are then written again.
     """
 
     __slots__ = (
@@ -39,8 +41,8 @@
         self._store = store
         self._members = members
         self._log = log
-        self._pending = {}  # key -> value to write, None to remove it
-        self._published = {}  # key -> (value, time at which it expires)
+        self._pending = {}  # key -> report to write, None to remove the key
+        self._published = {}  # key -> (report, time at which it expires)
         self._published_era = 0
         self._lease = None
         self._lease_until = 0.0
@@ -49,7 +51,7 @@
     def publish(self, report):
         """Write a report soon."""
         key = get_crash_key(report.fingerprint, report.target)
-        self._add_pending(key, encode_crash_report(report))
+        self._add_pending(key, report)
 
     def withdraw(self, fingerprint, target):
         """Remove a report soon."""
@@ -76,26 +78,53 @@
             else:
                 self._is_failing = False
 
-    def _add_pending(self, key, value):
+    def _get_limit(self):
+        return max(MIN_PUBLISHED, MAX_PUBLISHED // max(1, len(self._members)))
+
+    def _add_pending(self, key, report):
         self._pending.pop(key, None)
-        self._pending[key] = value
-        if len(self._pending) > MAX_PUBLISHED:
-            del self._pending[next(iter(self._pending))]
+        self._pending[key] = report
+        if len(self._pending) > self._get_limit():
+            # Removals are kept: they bound what the store holds.
+            writes = (name for name, put in self._pending.items() if put is not None)
+            oldest = next(writes, None)
+            if oldest is not None:
+                del self._pending[oldest]
 
     async def _write(self):
         keys = list(self._pending)[:MAX_KEYS_PER_WRITE]
-        values = {key: self._pending[key] for key in keys}
-        puts = {key: value for key, value in values.items() if value is not None}
+        reports = {key: self._pending[key] for key in keys}
+        puts = {
+            key: encode_crash_report(report)
+            for key, report in reports.items()
+            if report is not None
+        }
         lease = await self._get_lease() if puts else 0
         await self._store.commit(puts, [key for key in keys if key not in puts], lease)
         now = anyio.current_time()
-        for key, value in values.items():
-            if self._pending.get(key) is value:
+        for key, report in reports.items():
+            if key in self._pending and self._pending[key] is report:
                 del self._pending[key]
-            if value is not None:
-                self._published[key] = value, now + REPORT_TTL
-        while len(self._published) > MAX_PUBLISHED:
-            del self._published[next(iter(self._published))]
+            if report is not None:
+                self._published[key] = report, now + REPORT_TTL
+        self._remove_expired(now)
+        while len(self._published) > self._get_limit():
+            key = self._choose_least_useful()
+            del self._published[key]
+            self._add_pending(key, None)
+
+    def _remove_expired(self, now):
+        self._published = {
+            key: (report, expires)
+            for key, (report, expires) in self._published.items()
+            if expires > now
+        }
+
+    def _choose_least_useful(self):
+        for key, (report, _) in self._published.items():
+            if report.depth == 1:
+                return key
+        return next(iter(self._published))
 
     async def _get_lease(self):
         """Return a lease that lasts for at least half of the reports' lifetime."""
@@ -113,7 +142,7 @@
         now = anyio.current_time()
         self._lease = None
         self._published_era = self._store.era
-        for key, (value, expires) in self._published.items():
+        for key, (report, expires) in self._published.items():
             if expires > now:
-                self._pending.setdefault(key, value)
+                self._pending.setdefault(key, report)
         self._published.clear()
--- a/turmericrudder/steering/crash_ledger.py
+++ b/turmericrudder/steering/crash_ledger.py
@@ -4,7 +4,7 @@
 
 __all__ = ["CrashLedger", "CrashReport"]
 
-MAX_REPORTS = 4096  # reports of one ledger; further ones are ignored
+MAX_REPORTS = 4096  # reports of one ledger
 # Targets that have to end under a request, one after another, until it is blocked.
 BLOCKING_COUNT = 3
 
@@ -48,12 +48,15 @@
         return self._count
 
     def add(self, report):
-        """Add a report; return whether it is a new one and there was room for it."""
+        """Add a report; return whether it is a new one and there was room for it.
+
+        A full ledger forgets the oldest request with a single report.
+        """
         depths = self._depths.get(report.fingerprint, {})
         if report.depth <= depths.get(report.target, 0):
             return False
         if report.target not in depths:
-            if self._count >= MAX_REPORTS:
+            if self._count >= MAX_REPORTS and not self._remove_oldest_single():
                 return False
             self._count += 1
         self._depths.setdefault(report.fingerprint, depths)[report.target] = (
@@ -72,6 +75,13 @@
             del self._depths[fingerprint]
         self._is_outdated |= bool(self._blocked)
 
+    def _remove_oldest_single(self):
+        for fingerprint, depths in self._depths.items():
+            if len(depths) == 1:
+                self.remove(fingerprint, next(iter(depths)))
+                return True
+        return False
+
     def get_targets(self, fingerprint):
         """Return the digests of the targets that ended under a request."""
         return list(self._depths.get(fingerprint, ()))
