Bound each figure of a peer where it is decoded

Cause: ServerLoad.parse bounded the slowdown alone, and the sum of the other figures was packed for the reader of the region: OverflowError in LoadExchange.

The ranges are in one module, and each figure is checked where it is decoded; what is summed of a report is bounded by the count of the reports.

--- a/standins/target.py
+++ b/standins/target.py
@@ -20,6 +20,7 @@
     :param unsigned: responses have no signature header.
     :param limit: requests per second that the responses name as the most that the
         target takes from all instances together, ``None`` for no limit.
+    :param load: load report in the responses in place of the true one, or ``None``.
     """
 
     shed: bool = False
@@ -27,6 +28,7 @@
     status: int = 200
     unsigned: bool = False
     limit: float | None = None
+    load: str | None = None
 
 
 class TargetApplication:
@@ -97,11 +99,11 @@
         return is_complete
 
     def _make_headers(self, attempt_id):
-        load = b"%d,0,%d" % (self.in_flight, self.slots)
+        load = self.fault.load or f"{self.in_flight},0,{self.slots}"
         headers = [
             (protocol.ATTEMPT_ID_HEADER, attempt_id),
             (protocol.INSTANCE_ID_HEADER, self.target_id.encode()),
-            (protocol.SERVER_LOAD_HEADER, load),
+            (protocol.SERVER_LOAD_HEADER, load.encode()),
         ]
         if self.fault.limit is not None:
             headers.append((protocol.SERVER_LIMIT_HEADER, b"%g" % self.fault.limit))
--- a/turmericrudder/control/messages.py
+++ b/turmericrudder/control/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..membership.member import Member
+from ..ranges import NonNegativeCount, Revision
 
 __all__ = [
     "Handover",
@@ -43,13 +44,13 @@
     """
 
     name: str
-    incarnation: int
-    sequence: int
-    revision: int
+    incarnation: Revision
+    sequence: Revision
+    revision: Revision
     manifest: str
     key_prefix: str
-    free_slots: dict[str, int]
-    era: int = 0
+    free_slots: dict[str, NonNegativeCount]
+    era: Revision = 0
 
 
 class MembershipUpdate(_Message, tag=2):
@@ -78,10 +79,10 @@
 
     member: Member
     digest: bytes
-    revision: int
+    revision: Revision
     manifest: str
     members: tuple[Member, ...] = ()
-    era: int = 0
+    era: Revision = 0
 
 
 class LivenessQuery(_Message, tag=4):
@@ -193,7 +194,7 @@
     :param in_flight: {target name: in-flight requests of the sender}.
     """
 
-    in_flight: dict[str, int]
+    in_flight: dict[str, NonNegativeCount]
 
 
 class TargetsLeaving(_Message, tag=15):
--- a/turmericrudder/daemon/caller_application.py
+++ b/turmericrudder/daemon/caller_application.py
@@ -26,6 +26,7 @@
 )
 from ..forwarding.headers import DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, strip_headers
 from ..headers import get_header
+from ..ranges import MAX_INTEGER, parse_integer
 from ..routing import AdmissionRequest
 from ..units import MS_PER_SECOND
 from ..verdict import Verdict
@@ -290,6 +291,7 @@
     value = get_header(headers, DEADLINE_HEADER)
     if value is None:
         return request_class.timeout
-    if not value.isdigit():
+    milliseconds = parse_integer(value, MAX_INTEGER)
+    if milliseconds is None:
         raise RequestRejected(400, "deadline_invalid")
-    return min(request_class.timeout, int(value) / MS_PER_SECOND)
+    return min(request_class.timeout, milliseconds / MS_PER_SECOND)
--- a/turmericrudder/daemon/peer_application.py
+++ b/turmericrudder/daemon/peer_application.py
@@ -17,6 +17,7 @@
 from ..forwarding.peer_forwarder import ROLE_HOME
 from ..headers import get_header
 from ..operation import KeyInvalid, OperationKey
+from ..ranges import MAX_INTEGER, parse_integer
 from ..units import MS_PER_SECOND
 from ..verdict import Verdict
 from .caller_application import (
@@ -163,4 +164,4 @@
 def _get_queue_timeout(headers):
     """Return the seconds for which a forwarded request may queue, 0 for none."""
     value = get_header(headers, QUEUE_WAIT_HEADER) or b"0"
-    return int(value) / MS_PER_SECOND if value.isdigit() else 0.0
+    return (parse_integer(value, MAX_INTEGER) or 0) / MS_PER_SECOND
--- a/turmericrudder/daemon/target_monitor.py
+++ b/turmericrudder/daemon/target_monitor.py
@@ -10,6 +10,7 @@
 from ..forwarding.dispatcher import TargetLoadUpdate
 from ..http_client import TRANSPORT_ERRORS, make_timeout_extensions, send_bounded
 from ..platform import protocol
+from ..ranges import NonNegativeCount
 
 __all__ = ["Monitor"]
 
@@ -25,7 +26,7 @@
     :param draining: whether the target reports that it takes no new requests.
     """
 
-    in_flight: int = 0
+    in_flight: NonNegativeCount = 0
     draining: bool = False
 
 
@@ -93,7 +94,7 @@
                 msgspec.json.decode(item.value, type=InstanceRecord)
                 for item in page.entries
             ]
-        except (StoreError, msgspec.DecodeError):
+        except (StoreError, msgspec.DecodeError, RecursionError):
             # The list is optional; StoreReader logs an unreachable store.
             return
         for record in records:
@@ -135,7 +136,7 @@
                 extensions=make_timeout_extensions(PROBE_TIMEOUT),
             )
             report = msgspec.json.decode(response.content, type=LoadReport)
-        except (*TRANSPORT_ERRORS, msgspec.DecodeError):
+        except (*TRANSPORT_ERRORS, msgspec.DecodeError, RecursionError):
             return  # without a report, the slot counts of this instance decide
         self._dispatcher.send(
             TargetLoadUpdate(target.name, report.in_flight, report.draining)
--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -6,6 +6,7 @@
 from ..errors import RequestRejected, ResponseFailed
 from ..events import catalogue
 from ..platform import protocol
+from ..ranges import MAX_INTEGER, parse_integer
 from ..units import MS_PER_SECOND
 from .body_reader import BodyReader
 from .client_request import ClientRequest
@@ -15,7 +16,6 @@
 
 __all__ = ["ClientApplication"]
 
-MAX_DEADLINE_DIGITS = 15  # of the milliseconds that a client waits
 CONFIGURATION_TIMEOUT = 0.4  # seconds a request waits for the first configuration
 
 # A client, this instance and a target could each use another one of several values.
@@ -164,8 +164,9 @@
     value = headers_by_name.get(protocol.DEADLINE_HEADER)
     if value is None:
         return None
-    if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
+    milliseconds = parse_integer(value, MAX_INTEGER)
+    if milliseconds is None:
         raise RequestRejected(
             400, "deadline header is not a whole number of milliseconds"
         )
-    return int(value) / MS_PER_SECOND
+    return milliseconds / MS_PER_SECOND
--- a/turmericrudder/gateway/load_exchange.py
+++ b/turmericrudder/gateway/load_exchange.py
@@ -13,7 +13,10 @@
 
 from ..errors import PeerUnreachable
 from ..events import catalogue
+from ..ranges import MAX_COUNT
 from ..steering import LoadBoard, TargetReport, WeightPlanner
+from ..steering.server_load import MAX_SLOWDOWN, MAX_UTILIZATION
+from ..steering.weight_planner import MIN_WEIGHT
 from ..units import MS_PER_SECOND
 
 __all__ = ["LoadExchange", "LoadSummary", "LoadUpdate"]
@@ -24,14 +27,17 @@
 INTERVAL_PER_MEMBER = 0.01
 PLAN_INTERVAL = 1.0  # seconds between two plans of the weights
 MAX_REPORT_AGE = 5.0  # seconds; reports with a higher age are rejected as invalid
+ROUNDING = 0.01  # of the utilization that a report names
 
-MAX_AMOUNT = 10**9  # of each number of a report; a report above is invalid
-Weight = Annotated[float, msgspec.Meta(ge=0, le=1)]
+LoweredWeight = Annotated[float, msgspec.Meta(ge=MIN_WEIGHT, le=1)]
 
 
 class _Report(msgspec.Struct, array_like=True):
     """A :class:`TargetReport`, with its age in place of a time.
 
+    The ranges are checked for each report alone, so that one that cannot be used does
+    not spoil the others of a message.
+
     :param age_ms: milliseconds since the latest report.
     """
 
@@ -42,6 +48,16 @@
     utilization_sum: float = 0.0
     count: int = 0
 
+    def is_valid(self):
+        """Return whether all figures are in range."""
+        return (
+            0 <= self.age_ms <= MAX_REPORT_AGE * MS_PER_SECOND
+            and 0 <= self.load <= MAX_COUNT
+            and 0 < self.slowdown <= MAX_SLOWDOWN
+            and 0 <= self.count <= MAX_COUNT
+            and 0 <= self.utilization_sum <= MAX_UTILIZATION * self.count + ROUNDING
+        )
+
 
 class LoadSummary(msgspec.Struct):
     """The reports that one instance received since its last summary.
@@ -54,7 +70,7 @@
     instance: str
     weights_id: str
     reports: list[_Report]
-    weights: dict[str, Weight] | None = None
+    weights: dict[str, LoweredWeight] | None = None
 
 
 class LoadUpdate(msgspec.Struct):
@@ -67,7 +83,7 @@
     """
 
     weights_id: str
-    weights: dict[str, Weight] | None
+    weights: dict[str, LoweredWeight] | None
     reports: list[_Report]
     must_send_weights: bool = False
 
@@ -164,7 +180,7 @@
         weights = {
             target_id: weight
             for target_id, weight in summary.weights.items()
-            if 0.0 < weight < 1.0
+            if weight < 1.0
         }
         self._weights.replace(weights)
         self._planner.adopt(weights, now)
@@ -245,19 +261,12 @@
 def _decode_reports(reports, now):
     """Yield the valid reports as :class:`TargetReport`."""
     for report in reports:
-        age = report.age_ms / MS_PER_SECOND
-        if (
-            0 <= age <= MAX_REPORT_AGE
-            and 0 <= report.load <= MAX_AMOUNT
-            and 0 < report.slowdown <= MAX_AMOUNT
-            and 0 <= report.utilization_sum <= MAX_AMOUNT
-            and 0 <= report.count <= MAX_AMOUNT
-        ):
+        if report.is_valid():
             yield TargetReport(
                 report.target_id,
                 report.load,
                 report.slowdown,
-                now - age,
+                now - report.age_ms / MS_PER_SECOND,
                 report.utilization_sum,
                 report.count,
             )
--- a/turmericrudder/gateway/peer_sync.py
+++ b/turmericrudder/gateway/peer_sync.py
@@ -4,14 +4,20 @@
 the memory of every process for a few calls in an outage.
 """
 
-from typing import Annotated
-
 import httpcore
 import msgspec
 
 from ..errors import PeerUnreachable
 from ..http_client import TRANSPORT_ERRORS, make_timeout_extensions, send_bounded
 from ..platform import Deletion, StoreEntry
+from ..ranges import (
+    MAX_REVISION,
+    MAX_SECONDS,
+    NonNegativeInteger,
+    Revision,
+    Seconds,
+    parse_integer,
+)
 from ..units import MS_PER_SECOND
 from .auxiliary_applications import SimpleApplication, write_response
 from .load_exchange import LoadSummary, LoadUpdate
@@ -30,8 +36,6 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024  # several times a snapshot at the target's size
 TRANSFER_TIMEOUT = 2.0  # seconds for the body, after the wait for the head
 
-Revision = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
-
 
 class _Entry(msgspec.Struct, array_like=True):
     """A change of a key; a ``value`` of ``None`` is a deletion."""
@@ -55,8 +59,8 @@
     revision: Revision
     is_whole: bool
     entries: list[_Entry]
-    contact_age: float | None = None
-    era: Revision | None = None
+    contact_age: Seconds | None = None
+    era: NonNegativeInteger | None = None
 
     def get_events(self):
         """Return the entries as :class:`StoreEntry` and :class:`Deletion` objects."""
@@ -98,22 +102,24 @@
     async def respond(self, path, query):
         """Return (status, content type, body)."""
         fields = dict(part.partition(b"=")[::2] for part in query.split(b"&"))
-        after, wait = fields.get(b"after", b""), fields.get(b"wait_ms", b"0")
-        era = fields.get(b"era", b"0")
-        numbers = (after, wait, era)
-        if path != PATH or not all(text.isdigit() for text in numbers):
+        after, wait, era = (
+            parse_integer(fields.get(name, default), MAX_REVISION)
+            for name, default in ((b"after", b""), (b"wait_ms", b"0"), (b"era", b"0"))
+        )
+        if path != PATH or None in (after, wait, era):
             return 404, b"text/plain", b""
         store_sync = self._instance.store_sync
         change_log = store_sync.change_log
         # A peer that names no era counts as one of the same era.
-        era = int(era) or change_log.era
+        era = era or change_log.era
         if era == change_log.era:
-            seconds = min(int(wait), MAX_WAIT_MS) / MS_PER_SECOND
-            await change_log.wait_newer(int(after), seconds)
-        update = _make_update(change_log, era, int(after))
+            seconds = min(wait, MAX_WAIT_MS) / MS_PER_SECOND
+            await change_log.wait_newer(after, seconds)
+        update = _make_update(change_log, era, after)
         if update is None:
             return 503, b"text/plain", b""
-        update.contact_age = store_sync.get_store_contact_age()
+        age = store_sync.get_store_contact_age()
+        update.contact_age = None if age is None else min(age, MAX_SECONDS)
         return 200, b"application/msgpack", msgspec.msgpack.encode(update)
 
 
--- a/turmericrudder/gateway/response_parser.py
+++ b/turmericrudder/gateway/response_parser.py
@@ -8,6 +8,7 @@
 
 from ..headers import get_header
 from ..platform import protocol
+from ..ranges import MAX_SECONDS, parse_integer
 
 __all__ = ["ResponseParser"]
 
@@ -198,6 +199,7 @@
         return default
     for part in value.split(b","):
         key, _, number = part.strip().partition(b"=")
-        if key.lower() == b"timeout" and number.isdigit():
-            return float(number)
+        if key.lower() == b"timeout":
+            seconds = parse_integer(number, MAX_SECONDS)
+            return default if seconds is None else float(seconds)
     return default
--- a/turmericrudder/membership/member.py
+++ b/turmericrudder/membership/member.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..ranges import Revision
+
 __all__ = ["Member", "Status"]
 
 
@@ -36,9 +38,9 @@
     """
 
     name: str
-    incarnation: int
+    incarnation: Revision
     nonce: str
-    sequence: int
+    sequence: Revision
     status: Status
     region: str
     failure_domain: str
--- a/turmericrudder/platform/decoding.py
+++ b/turmericrudder/platform/decoding.py
@@ -1,4 +1,4 @@
-"""Decoding of documents that others wrote, and the ranges of their values."""
+"""Decoding of documents that others wrote."""
 
 from typing import Annotated
 
@@ -8,27 +8,12 @@
 from ..errors import AddressInvalid, StoreEntryInvalid
 
 __all__ = [
-    "Count",
-    "Milliseconds",
     "Name",
-    "NonNegativeInteger",
-    "PositiveMilliseconds",
-    "Weight",
     "check_name",
     "decode_document",
     "parse_peer_address",
 ]
 
-MAX_INTEGER = 10**15  # exact as a float
-MAX_COUNT = 10**6
-MAX_MILLISECONDS = 86_400_000  # a day
-MAX_WEIGHT = 10**6
-
-NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
-Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
-PositiveMilliseconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_MILLISECONDS)]
-Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 # Visible ASCII, so that the name fits into a header and a log line.
 Name = Annotated[str, msgspec.Meta(pattern=r"^[!-~]+\Z", max_length=200)]
 
--- a/turmericrudder/platform/members.py
+++ b/turmericrudder/platform/members.py
@@ -1,11 +1,10 @@
 """Encode and decode the registrations of entry instances in the store."""
 
-from typing import Annotated
-
 import msgspec
 
+from ..ranges import PositiveWeight
 from ..steering import GatewayMember
-from .decoding import MAX_WEIGHT, check_name, decode_document, parse_peer_address
+from .decoding import check_name, decode_document, parse_peer_address
 from .protocol import MEMBER_PREFIX
 
 __all__ = ["decode_member", "encode_member", "get_member_key", "get_member_name"]
@@ -17,7 +16,7 @@
     failure_domain: str
     region: str
     nonce: str
-    capacity: Annotated[float, msgspec.Meta(gt=0, le=MAX_WEIGHT)]
+    capacity: PositiveWeight
 
 
 def get_member_key(name):
--- a/turmericrudder/platform/routing_configuration.py
+++ b/turmericrudder/platform/routing_configuration.py
@@ -6,6 +6,16 @@
 import msgspec
 
 from ..errors import StoreEntryInvalid
+from ..ranges import (
+    MAX_COUNT,
+    MAX_INTEGER,
+    Count,
+    Milliseconds,
+    NonNegativeInteger,
+    PositiveMilliseconds,
+    Seconds,
+    Weight,
+)
 from ..steering import (
     Backend,
     ClientLimits,
@@ -15,21 +25,11 @@
     ServiceProfile,
 )
 from ..units import MS_PER_SECOND
-from .decoding import (
-    MAX_COUNT,
-    MAX_INTEGER,
-    Count,
-    Milliseconds,
-    NonNegativeInteger,
-    PositiveMilliseconds,
-    Weight,
-    decode_document,
-)
+from .decoding import decode_document
 
 __all__ = ["decode_routing_configuration"]
 
 SUBJECT = "routing configuration"
-MAX_SECONDS = 86_400
 _VERSION_PATTERN = re.compile(r"r?([0-9]{1,15})")
 
 
@@ -71,7 +71,7 @@
     name: str
     health_path: str = "/health"
     max_conns: Count = 1
-    cold_start_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)] = 0.0
+    cold_start_s: Seconds = 0.0
     cold_per_s: Weight | None = None
 
 
--- a/turmericrudder/platform/store_client.py
+++ b/turmericrudder/platform/store_client.py
@@ -23,6 +23,7 @@
     send_bounded,
 )
 from ..keepalive import make_keepalive_options
+from ..ranges import MAX_INTEGER, Revision, parse_integer
 from ..units import MS_PER_SECOND
 from . import protocol
 from .store_entries import Deletion, Page, StoreEntry, WatchResponse
@@ -35,7 +36,6 @@
 MAX_CONNECTIONS = 4
 # Bytes of one response; several times a page or the largest value in base64.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-MAX_ERA_DIGITS = 15
 MAX_SNAPSHOT_BYTES = 16 * 1024 * 1024  # bytes of all values that get_all returns
 # During a watch the client sends nothing, so only keepalive probes detect a dead
 # connection.
@@ -54,29 +54,28 @@
 
 class _EntryDocument(msgspec.Struct):
     key: str
-    rev: int
+    rev: Revision
     value: str = ""
     deleted: bool = False
 
 
 class _PageDocument(msgspec.Struct):
     items: list[_EntryDocument]
-    store_revision: int
+    store_revision: Revision
     has_more: bool = False
 
 
 class _WatchDocument(msgspec.Struct):
     events: list[_EntryDocument]
-    store_revision: int
+    store_revision: Revision
 
 
 class _LeaseDocument(msgspec.Struct):
-    lease: int
-    ttl_ms: int
+    lease: Revision
 
 
 class _WriteDocument(msgspec.Struct):
-    rev: int
+    rev: Revision
 
 
 class MetadataStoreClient:
@@ -320,7 +319,7 @@
 def _get_era(response):
     """Return the era that a response names, ``None`` without a usable one."""
     text = dict(_lower_names(response.headers)).get(protocol.STORE_ERA_HEADER, b"")
-    return int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else None
+    return parse_integer(text, MAX_INTEGER)
 
 
 def _lower_names(headers):
--- a/turmericrudder/platform/targets.py
+++ b/turmericrudder/platform/targets.py
@@ -4,16 +4,10 @@
 
 import msgspec
 
+from ..ranges import Count, Milliseconds, NonNegativeInteger
 from ..steering import Endpoint
 from ..units import MS_PER_SECOND
-from .decoding import (
-    Count,
-    Milliseconds,
-    NonNegativeInteger,
-    check_name,
-    decode_document,
-    parse_peer_address,
-)
+from .decoding import check_name, decode_document, parse_peer_address
 from .protocol import TARGET_PREFIX
 
 __all__ = ["decode_endpoint", "get_target_id"]
--- a/turmericrudder/steering/load_collector.py
+++ b/turmericrudder/steering/load_collector.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ..ranges import MAX_COUNT
+
 __all__ = ["LoadCollector", "TargetReport"]
 
 MAX_TARGETS = 1024  # targets that are remembered between two sends
@@ -44,8 +46,9 @@
         report.load = load.active + load.queued
         report.slowdown = load.slowdown
         report.reported_at = now
-        report.utilization_sum += report.load / load.slots
-        report.count += 1
+        if report.count < MAX_COUNT:
+            report.utilization_sum += report.load / load.slots
+            report.count += 1
 
     def take(self):
         """Return the :class:`TargetReport` list and start anew."""
--- a/turmericrudder/steering/rate_limit.py
+++ b/turmericrudder/steering/rate_limit.py
@@ -1,6 +1,6 @@
 """The request rate that a target in need accepts from all instances together."""
 
-import math
+from ..ranges import MAX_COUNT, parse_decimal
 
 __all__ = ["parse_rate_limit"]
 
@@ -8,10 +8,6 @@
 def parse_rate_limit(text):
     """Return the requests per second from the text of a response's header.
 
-    :returns: ``None`` if the text is malformed.
+    :returns: ``None`` if the text is malformed or the rate is out of range.
     """
-    try:
-        limit = float(text)
-    except ValueError:
-        return None
-    return limit if 0.0 <= limit < math.inf else None
+    return parse_decimal(text, MAX_COUNT)
--- a/turmericrudder/steering/server_load.py
+++ b/turmericrudder/steering/server_load.py
@@ -2,9 +2,14 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ServerLoad"]
+from ..ranges import MAX_COUNT, parse_decimal, parse_integer
+
+__all__ = ["MAX_UTILIZATION", "ServerLoad"]
 
 NORMAL_PERCENT = 100.0  # slowdown that a target reports at normal speed
+MAX_SLOWDOWN = 1000.0
+# Active and queued requests in relation to slots; a report of more is malformed.
+MAX_UTILIZATION = 64.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,17 +33,21 @@
 
         The fields are active, queued, slots and the slowdown in percent.
 
-        :returns: ``None`` if the text is malformed; load reports are optional, so this
-            is no error.
+        :returns: ``None`` if the text is malformed or a figure is out of range; load
+            reports are optional, so this is no error.
         """
         fields = text.split(",")
         if len(fields) not in (3, 4):
             return None
-        try:
-            active, queued, slots = (int(field) for field in fields[:3])
-            slowdown = float(fields[3]) / NORMAL_PERCENT if len(fields) == 4 else 1.0
-        except ValueError:
+        numbers = [parse_integer(field, MAX_COUNT) for field in fields[:3]]
+        if None in numbers:
+            return None
+        active, queued, slots = numbers
+        if slots < 1 or active + queued > MAX_UTILIZATION * slots:
             return None
-        if min(active, queued) < 0 or slots < 1 or not 0 < slowdown < 1000:
+        if len(fields) == 3:
+            return cls(active, queued, slots)
+        percent = parse_decimal(fields[3], MAX_SLOWDOWN * NORMAL_PERCENT)
+        if not percent:
             return None
-        return cls(active, queued, slots, slowdown)
+        return cls(active, queued, slots, percent / NORMAL_PERCENT)
