Restart a task of the gateway after an unexpected error

The daemon's supervision moves into a module of its own, and both entry instances use it: the error is logged with the place that raised it, and the task runs again after a second.

--- a/turmericrudder/daemon/entry_instance.py
+++ b/turmericrudder/daemon/entry_instance.py
@@ -25,6 +25,7 @@
 from ..metrics import Metrics
 from ..platform import MetadataStoreClient
 from ..routing import RetryBudget, SlotAllocator
+from ..supervision import run_supervised
 from .blob_fetcher import BlobFetcher
 from .caller_application import CallerApplication
 from .configurator import Configurator
@@ -42,7 +43,6 @@
 __all__ = ["EntryInstance", "run_entry"]
 
 UPDATE_DELAY = 0.05  # seconds; changes within it are applied together
-TASK_RESTART_DELAY = 1.0  # seconds
 RETRY_BUDGET_RATIO = 0.05  # retries and hedges earned per request
 RETRY_BUDGET_BURST = 6  # retries and hedges saved at most
 RETRY_BUDGET_RESERVE = 4  # saved ones that only retries may use
@@ -198,7 +198,7 @@
                 self._run_changes,
                 self._handover_sender.run,
             ):
-                tasks.start_soon(self._supervise, task)
+                tasks.start_soon(run_supervised, task, self.log)
             self.log.write(
                 catalogue.INSTANCE_STARTED,
                 callers=self.settings.listen_callers,
@@ -239,17 +239,6 @@
             random.Random(own_member.nonce),
         )
 
-    async def _supervise(self, task):
-        """Run a task for ever; after an error, log it and restart the task."""
-        while True:
-            try:
-                await task()
-            except Exception as exc:
-                self.log.write(
-                    catalogue.TASK_FAILED, task=task.__qualname__, error=repr(exc)
-                )
-                await anyio.sleep(TASK_RESTART_DELAY)
-
     def _handle_message(self, envelope):
         match envelope.message:
             case Handover(in_flight):
--- a/turmericrudder/gateway/crash_monitor.py
+++ b/turmericrudder/gateway/crash_monitor.py
@@ -102,6 +102,7 @@
 
     async def run(self):
         """Probe the targets of lost attempts until cancelled."""
+        self._probed.clear()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._publisher.run)
             async for attempt in self._lost_attempts:
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -18,6 +18,7 @@
     LoadCollector,
     SmoothWeightedRoundRobin,
 )
+from ..supervision import run_supervised
 from .auxiliary_applications import (
     DirectoryApplication,
     MetricsApplication,
@@ -206,11 +207,14 @@
                     address=str(self.settings.listen_clients),
                     nonce=self.own_member.nonce,
                 )
-                tasks.start_soon(self.store_sync.run)
-                tasks.start_soon(self.load_exchange.run)
-                tasks.start_soon(self.crash_monitor.run)
-                tasks.start_soon(self._register)
-                tasks.start_soon(self._run_housekeeping)
+                for task in (
+                    self.store_sync.run,
+                    self.load_exchange.run,
+                    self.crash_monitor.run,
+                    self._register,
+                    self._run_housekeeping,
+                ):
+                    tasks.start_soon(run_supervised, task, self.log)
                 async for signal_number in signals:
                     if signal_number == signal.SIGTERM:
                         break
