Divide what a cold target tolerates among all instances

Cause: one member was chosen as the sender, and each instance counts itself as a member. An instance whose registration had expired went on as the sender beside the one that the others had chosen; half of the bound for each holds for two senders only.

Each instance now has a part of the bound that follows from its rank among the members that it knows, and from nothing else. A part never grows with more members, so all parts stay within the bound if each sender knows at least all other senders. That holds because an instance sends to cold targets only for 6 s after the store has last kept its registration and its view was last confirmed, from 8 s after it registered, and because a member that is gone counts for 12 s more. Times count a suspension. Requests are counted when they are sent, not when their target is chosen, and the next incarnation of a target keeps the count. Four fifths of the bound are divided; the rest is left for what nobody can know of yet.

--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -3,6 +3,7 @@
 import bisect
 import heapq
 import itertools
+import math
 import random
 from types import SimpleNamespace
 
@@ -68,6 +69,7 @@
         members = Members(settings, own_member)
         for member in self._members:
             members.put(member)
+        members.senders.confirm_view(math.inf)
         catalog = EndpointCatalog()
         catalog.set_profiles({"s": PROFILE})
         for revision, endpoint in enumerate(endpoints):
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -26,6 +26,7 @@
 from .outcome import (
     CompleteResponse,
     ConnectFailure,
+    NotAdmitted,
     NotExecuted,
     ResponseFailure,
     StreamingResponse,
@@ -212,6 +213,9 @@
             )
             _raise_if_disconnected(request)
             now = anyio.current_time()
+            if not self._balancer.admit(target, now):
+                outcome = NotAdmitted("the target takes no more requests now")
+                return outcome
             # Attempts that were just lost may not have been examined yet.
             known_depth = max(
                 self._crash_monitor.get_depth(request), state.lost_attempt_count
@@ -226,11 +230,13 @@
             if isinstance(outcome, NotExecuted):
                 state.record_not_executed()
         except ConnectFailed as exc:
-            target.eject(anyio.current_time())
+            now = anyio.current_time()
+            target.eject(now)
             self._connection_pool.close_idle(target.endpoint.id)
             outcome = ConnectFailure(str(exc))
         except ResponseFailed as exc:
-            target.record_failure(anyio.current_time())
+            now = anyio.current_time()
+            target.record_failure(now)
             outcome = ResponseFailure(str(exc))
             if connection.is_lost:
                 state.lost_attempt_count += 1
@@ -329,7 +335,7 @@
 
     def _release_connection(self, target, connection, outcome):
         match outcome:
-            case CompleteResponse() | NotExecuted():
+            case CompleteResponse() | NotExecuted() | NotAdmitted():
                 self._connection_pool.release(
                     target, connection, self._get_idle_limit(target)
                 )
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ..clock import get_boot_time
 from ..errors import SettingsInvalid
 from ..events import EventLog, catalogue
 from ..listener import Listener
@@ -188,6 +189,7 @@
             "blocked_requests": len(self.cached_state.crash_ledger.get_blocked()),
             "crash_reports": len(self.cached_state.crash_ledger),
             "ended_targets": self.crash_monitor.ended_count,
+            "cold_sender": int(self.members.senders.may_send(get_boot_time())),
             "connections_opened": self.connection_pool.opened_count,
             "load_exchanges": self.load_exchange.exchange_count,
             "lowered_weights": len(self.load_exchange.get_weights()),
@@ -240,6 +242,7 @@
             await anyio.sleep(HOUSEKEEPING_INTERVAL)
             self.connection_pool.close_expired()
             self.store_sync.apply_withheld_deletions()
+            self.members.senders.forget_former(get_boot_time())
             if _get_stamp(self._settings_path) != self._settings_stamp:
                 self._reload()
 
--- a/turmericrudder/gateway/members.py
+++ b/turmericrudder/gateway/members.py
@@ -1,7 +1,8 @@
 """The registered entry instances and how tasks are assigned among them."""
 
+from ..clock import get_boot_time
 from ..rendezvous import get_score, rank_names
-from ..steering import choose_entry_instances
+from ..steering import SenderRoster, choose_entry_instances
 
 __all__ = ["STORE_READER_KEY", "Members"]
 
@@ -22,6 +23,7 @@
         of its region with members, failure domains of all regions with members).
     :ivar region_size: number of members in this instance's region.
     :ivar revision: number of changes so far.
+    :ivar senders: the :class:`~turmericrudder.steering.SenderRoster`.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         "instance_counts",
         "region_size",
         "revision",
+        "senders",
     )
 
     def __init__(self, settings, own_member):
@@ -46,6 +49,7 @@
         self._own_member = own_member
         self._is_stopping = False
         self._others = {}
+        self.senders = SenderRoster(own_member)
         self.revision = 0
         self._update_derived()
 
@@ -57,6 +61,7 @@
         if self._others.get(member.name) == member:
             return False
         self._others[member.name] = member
+        self.senders.put(member)
         self._update_derived()
         return True
 
@@ -64,6 +69,7 @@
         """Remove a member; return whether it was known."""
         if self._others.pop(name, None) is None:
             return False
+        self.senders.remove(name, get_boot_time())
         self._update_derived()
         return True
 
@@ -95,20 +101,17 @@
             ]
         return addresses
 
-    def may_send_to_cold(self, endpoint):
-        """Return whether this instance sends requests to a target while it is cold.
+    def get_cold_share(self, endpoint, bound):
+        """Return how many requests a second this instance may send to a cold target.
 
-        A target is cold after its start, while its caches are empty. One member is
-        chosen for each target, from the target's failure domain if it has members,
-        else from its region, else from all.
+        :param bound: requests a second of all instances together.
         """
-        members = self._members
-        candidates = [m for m in members if m.failure_domain == endpoint.failure_domain]
-        if not candidates:
-            region = self._settings.regions.get(endpoint.failure_domain)
-            candidates = [m for m in members if m.region == region] or members
-        ranked = rank_names(endpoint.id, [member.name for member in candidates])
-        return bool(ranked) and ranked[0] == self._own_member.name
+        region = self._settings.regions.get(endpoint.failure_domain)
+        return self.senders.get_share(endpoint.id, region, bound, get_boot_time())
+
+    def is_view_current(self):
+        """Return whether changes in the store are known to this instance."""
+        return self.senders.is_view_current(get_boot_time())
 
     def get_rate_share(self, endpoint, sender_count):
         """Return this instance's share of the request rate that a target accepts.
--- a/turmericrudder/gateway/outcome.py
+++ b/turmericrudder/gateway/outcome.py
@@ -10,6 +10,7 @@
     "CompleteResponse",
     "ConnectFailure",
     "LocalResponse",
+    "NotAdmitted",
     "NotExecuted",
     "ResponseFailure",
     "StreamingResponse",
@@ -57,6 +58,17 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class NotAdmitted:
+    """The target was removed or its bound reached while a connection was established.
+
+    Nothing was sent.
+    """
+
+    log_name: ClassVar[str] = "NotAdmitted"
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseFailure:
     """The request was sent and may have executed, but no valid response arrived."""
--- a/turmericrudder/gateway/peer_sync.py
+++ b/turmericrudder/gateway/peer_sync.py
@@ -54,6 +54,8 @@
     :param era: the store's era, in which the revisions count.
     :param contact_age: seconds since the store last responded to the instance, or
         ``None`` if it has not yet or the instance does not watch the store itself.
+    :param view_age: seconds since the store's content was as the instance knows it,
+        ``None`` if it has not read it.
     """
 
     revision: Revision
@@ -61,6 +63,7 @@
     entries: list[_Entry]
     contact_age: Seconds | None = None
     era: NonNegativeInteger | None = None
+    view_age: Seconds | None = None
 
     def get_events(self):
         """Return the entries as :class:`StoreEntry` and :class:`Deletion` objects."""
@@ -118,8 +121,8 @@
         update = _make_update(change_log, era, after)
         if update is None:
             return 503, b"text/plain", b""
-        age = store_sync.get_store_contact_age()
-        update.contact_age = None if age is None else min(age, MAX_SECONDS)
+        update.contact_age = _limit_age(store_sync.get_store_contact_age())
+        update.view_age = _limit_age(store_sync.get_view_age())
         return 200, b"application/msgpack", msgspec.msgpack.encode(update)
 
 
@@ -220,6 +223,10 @@
     )
 
 
+def _limit_age(seconds):
+    return None if seconds is None else min(seconds, float(MAX_SECONDS))
+
+
 def _to_entry(event):
     value = None if isinstance(event, Deletion) else event.value
     return _Entry(event.key, event.revision, value)
--- a/turmericrudder/gateway/registration.py
+++ b/turmericrudder/gateway/registration.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from ..clock import get_boot_time
 from ..errors import LeaseExpired, StoreError
 from ..events import catalogue
 from ..platform import encode_member, get_member_key
@@ -48,6 +49,7 @@
         to another instance, so the entry is written anew.
         """
         while not self._is_stopping:
+            called_at = get_boot_time()
             try:
                 if not self._has_lease():
                     await self._register()
@@ -64,6 +66,7 @@
             self._instance.store_sync.record_store_contact()
             if not self._has_lease():
                 continue
+            self._instance.members.senders.confirm_registration(called_at)
             await anyio.sleep(self._get_renewal_interval())
 
     def schedule_reregistration(self):
--- a/turmericrudder/gateway/retry_state.py
+++ b/turmericrudder/gateway/retry_state.py
@@ -4,6 +4,7 @@
     CompleteResponse,
     ConnectFailure,
     LocalResponse,
+    NotAdmitted,
     NotExecuted,
     ResponseFailure,
     StreamingResponse,
@@ -74,7 +75,7 @@
         if is_final_response(outcome):
             return False
         match outcome:
-            case ConnectFailure():
+            case ConnectFailure() | NotAdmitted():
                 self.connect_failures += 1
                 return self.connect_failures < MAX_CONNECT_FAILURES
             case CompleteResponse() | ResponseFailure() if not route.is_idempotent:
@@ -92,7 +93,7 @@
         match outcome:
             case CompleteResponse() | StreamingResponse():
                 return outcome
-            case NotExecuted(reason) | ConnectFailure(reason):
+            case NotExecuted(reason) | ConnectFailure(reason) | NotAdmitted(reason):
                 return self.make_failure_response(reason, retry_after)
             case ResponseFailure(reason):
                 return LocalResponse(502, reason)
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -1,9 +1,11 @@
 """Synchronization of the cached state with the metadata store or with peers."""
 
+import math
 import random
 
 import anyio
 
+from ..clock import get_boot_time
 from ..errors import (
     HistoryCompacted,
     PeerUnreachable,
@@ -126,6 +128,14 @@
             return None
         return anyio.current_time() - self._last_contact_at
 
+    def get_view_age(self):
+        """Return the seconds since the store's content was as it is known here.
+
+        :returns: ``None`` if it has not been read yet.
+        """
+        confirmed_at = self._cached_state.members.senders.view_confirmed_at
+        return get_boot_time() - confirmed_at if confirmed_at > -math.inf else None
+
     def get_watch_duration(self):
         """Return the seconds for which the current watch has waited, 0 without one."""
         if self._watch_began_at is None:
@@ -163,6 +173,7 @@
         return anyio.current_time() >= self._peer_valid_until
 
     async def _read_all(self):
+        as_of = get_boot_time()
         page = await self._store.get_all(ALL_KEYS_PREFIX)
         self._check_era(page.era)
         is_same_era = page.era is not None and page.era == self.era
@@ -182,10 +193,12 @@
         self._apply_snapshot(
             {entry.key: entry for entry in page.entries}, page.revision, page.era
         )
+        self._cached_state.members.senders.confirm_view(as_of)
         self._store_revision = page.revision
 
     async def _watch_changes(self):
         after = self.change_log.revision
+        as_of = get_boot_time()
         self._watch_began_at = anyio.current_time()
         try:
             response = await self._store.watch(ALL_KEYS_PREFIX, after, WATCH_TIMEOUT)
@@ -202,6 +215,7 @@
         for event in response.events:
             self._apply_event(event)
         self.change_log.advance(response.revision)
+        self._cached_state.members.senders.confirm_view(as_of)
         self._store_revision = max(self._store_revision, response.revision)
         if response.events:
             await anyio.sleep(BATCH_DELAY)
@@ -214,6 +228,7 @@
                 await anyio.sleep(PEER_POLL_DELAY)
                 continue
             after = self.change_log.revision
+            as_of = get_boot_time()
             try:
                 update = await self._peer_client.get_update(
                     address, after, PEER_POLL_TIMEOUT, self.era
@@ -223,6 +238,8 @@
                 await anyio.sleep(PEER_POLL_DELAY)
                 continue
             is_current = self._apply_update(update)
+            if is_current and self._is_synced and update.view_age is not None:
+                self._cached_state.members.senders.confirm_view(as_of - update.view_age)
             contact_age = update.contact_age
             if (
                 is_current
--- a/turmericrudder/steering/__init__.py
+++ b/turmericrudder/steering/__init__.py
@@ -23,6 +23,7 @@
 )
 from .route_table import RouteTable
 from .selection import NoTarget, NoTargetReason, Selection, SelectionRequest
+from .sender_roster import SenderRoster
 from .server_load import ServerLoad
 from .target_weights import TargetWeights
 from .tracked_target import TrackedTarget
@@ -49,6 +50,7 @@
     "RoutingConfiguration",
     "Selection",
     "SelectionRequest",
+    "SenderRoster",
     "ServerLoad",
     "ServiceProfile",
     "SmoothWeightedRoundRobin",
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -76,9 +76,9 @@
 
     :param members: has ``instance_counts`` (instances in this one's failure domain,
         failure domains of its region that have instances, all failure domains that
-        have instances), ``may_send_to_cold(endpoint)``, which returns whether this
-        instance is the one that sends to a target while it is cold, and what
-        :class:`TargetRateLimiter` needs.
+        have instances), ``get_cold_share(endpoint, bound)``, which returns how many
+        requests a second this instance may send to a target while it is cold,
+        and what :class:`TargetRateLimiter` needs.
     :param random: a ``random.Random``.
     :ivar weights: the :class:`~turmericrudder.steering.TargetWeights`.
     """
@@ -161,14 +161,12 @@
         return best
 
     def record_attempt(self, selection, request, now):
-        """Count an attempt that is sent now.
+        """Count an attempt that begins now.
 
-        :param selection: the target it is sent to.
+        :param selection: the target it is meant for.
         :param request: the :class:`SelectionRequest` that led to the selection.
         """
         target = selection.target
-        if target.is_cold(now):
-            target.cold_limiter.record_request(now)
         target.rate_limiter.record_request(now)
         if request.affinity_key is not None:
             target.recent_keys.record((request.route.name, request.affinity_key))
@@ -178,6 +176,17 @@
             )
         self._shift_limiter.record_request(selection.is_remote, now)
 
+    def admit(self, target, now):
+        """Count a request whose first byte is about to be sent to a target.
+
+        :returns: ``False`` if it must not be sent, because the target was removed or
+            the bound of a cold target was reached since the selection.
+        """
+        if target.is_removed or not self._candidates.is_within_cold_bound(target, now):
+            return False
+        target.cold.record_request(now)
+        return True
+
     def record_limit(self, target, limit, now):
         """Set the limit on its request rate that a target named in a response.
 
--- a/turmericrudder/steering/candidate_finder.py
+++ b/turmericrudder/steering/candidate_finder.py
@@ -19,7 +19,12 @@
     :param random: a ``random.Random``.
     """
 
-    __slots__ = ("_catalog", "_members", "_random", "_settings")
+    __slots__ = (
+        "_catalog",
+        "_members",
+        "_random",
+        "_settings",
+    )
 
     def __init__(self, settings, catalog, members, random):
         self._settings = settings
@@ -116,14 +121,17 @@
         """Return whether the limits on a target's request rate allow one more now."""
         if target.rate_limiter.get_wait(target.endpoint, self._members, now) > 0.0:
             return False
-        if not target.is_cold(now):
-            return True
+        return self.is_within_cold_bound(target, now)
+
+    def is_within_cold_bound(self, target, now):
+        """Return whether a target is warm, or one more request is in this part."""
         profile = self._catalog.get_profile(target.endpoint.service)
         if profile is None or profile.cold_rate is None:
             return True
+        if not target.is_cold(now):
+            return True
         bounds = self._settings.bounds
-        return self._members.may_send_to_cold(
-            target.endpoint
-        ) and target.cold_limiter.has_capacity(
-            profile.cold_rate, bounds.cold_overage, bounds.cold_slack, now
+        share = self._members.get_cold_share(
+            target.endpoint, profile.cold_rate * bounds.cold_overage + bounds.cold_slack
         )
+        return target.cold.count_recent(now) < share
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -170,9 +170,10 @@
         cold = endpoint.cold_remaining
         if self.has_synced:
             cold = max(cold, self._get_cold_start(endpoint))
-        self._mark_cold(target, now, cold)
         if previous is not None:
             previous.is_removed = True
+            target.cold = previous.cold.make_successor()
+        self._mark_cold(target, now, cold)
         self._targets[endpoint.id] = target
         self._reindex(endpoint.service)
         if previous is not None and previous.endpoint.service != endpoint.service:
@@ -192,7 +193,7 @@
 
     def _mark_cold(self, target, now, seconds):
         if seconds > 0:
-            target.cold_until = max(target.cold_until, now + seconds)
+            target.cold.mark_cold(now + seconds)
 
     def _get_cold_start(self, endpoint):
         profile = self._profiles.get(endpoint.service)
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -1,7 +1,7 @@
 """Measurements that this instance keeps about one target."""
 
 from ..units import MS_PER_SECOND
-from .cold_rate_limiter import ColdRateLimiter
+from .cold_tracker import ColdTracker
 from .recent_keys import RecentKeys
 from .target_rate_limiter import TargetRateLimiter
 
@@ -25,7 +25,7 @@
     :ivar endpoint: the target's registration, an
         :class:`~turmericrudder.steering.endpoint.Endpoint`.
     :ivar revision: revision of the registration in the store.
-    :ivar cold_until: time until which the target is cold: its caches are empty.
+    :ivar cold: the :class:`ColdTracker`.
     :ivar ejected_until: time until which the target is ejected.
     :ivar is_removed: whether the registration was removed or replaced, or a response
         with status 421 showed that another target has the address.
@@ -47,8 +47,7 @@
         "_slowdown",
         "_slowdown_at",
         "_start_times",
-        "cold_limiter",
-        "cold_until",
+        "cold",
         "ejected_until",
         "endpoint",
         "is_removed",
@@ -62,8 +61,7 @@
     def __init__(self, endpoint, revision=0):
         self.endpoint = endpoint
         self.revision = revision
-        self.cold_limiter = ColdRateLimiter()
-        self.cold_until = 0.0
+        self.cold = ColdTracker()
         self.ejected_until = 0.0
         self.is_removed = False
         self.rate_limiter = TargetRateLimiter()
@@ -86,8 +84,8 @@
         return len(self._start_times)
 
     def is_cold(self, now):
-        """Return whether the target is cold, so that its request rate is limited."""
-        return now < self.cold_until
+        """Return whether the target is known to be cold: its caches are empty."""
+        return self.cold.is_cold(now)
 
     def start_request(self, attempt_number, now):
         """Count an in-flight request.
