Limit a target that may have started again until it says it is warm

Cause: that a target is cold was known from its registration alone, which cannot change while the store is away, and reaches an instance later than the target.

An instance now doubts a target after a connection to it was refused or lost with a request in progress, or ended while idle before its timeout. A target in doubt gets no more than the instance's share of the cold bound until it says in a health check, on a connection of its own, whether it is cold, or until a cold start has passed since it responded on a new connection. While the registrations are not known to be current, for 4 s, targets in use are asked twice a second; a warm one is served in full, and the first requests wait for the answer, 0.25 s at most. Age of the view is passed on between instances with the changes, so that an instance which the store turns away is not out of touch while its peers are in.

The time for which a share lasts is 4 s and the delay of a new instance 5.5 s in place of 6 s and 8 s: with these, targets of a deployment younger than 8 s got nothing while cold. test_all_instances_together_stay_within_the_bound_whatever_they_believe holds with both.

--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -203,9 +203,7 @@
         catalog.set_profiles({"s": PROFILE})
         for revision, target_id in enumerate(self.targets):
             catalog.put(make_endpoint(target_id, slots=slots), revision + 1, 0.0)
-        members = SimpleNamespace(
-            instance_counts=(1, 1, 1), is_view_current=lambda: True
-        )
+        members = SimpleNamespace(instance_counts=(1, 1, 1), get_view_age=lambda: 0.0)
         balancer = Balancer(SETTINGS, catalog, members, random.Random(number))
         return SimpleNamespace(
             balancer=balancer,
--- a/tests/steering_makers.py
+++ b/tests/steering_makers.py
@@ -48,8 +48,8 @@
     def get_cold_share(self, endpoint, bound):
         return self._cold_share
 
-    def is_view_current(self):
-        return True
+    def get_view_age(self):
+        return 0.0
 
     def get_rate_share(self, endpoint, sender_count):
         return 1.0
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -17,7 +17,6 @@
     FORMER_MEMBER_TTL,
     JOIN_DELAY,
     SHARE_TTL,
-    VIEW_TTL,
     divide_evenly,
 )
 
@@ -210,7 +209,7 @@
     assert not roster.may_send(JOIN_DELAY + SHARE_TTL)
     roster.confirm_registration(100.0)
     assert not roster.may_send(100.0)
-    assert not roster.is_view_current(100.0 + VIEW_TTL)
+    assert roster.get_view_age(101.0) == 1.0
 
 
 def test_former_member_counts_until_it_cannot_send():
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -11,6 +11,7 @@
 from turmericrudder.gateway.client_request import ClientRequest
 from turmericrudder.gateway.crash_monitor import CrashMonitor
 from turmericrudder.gateway.forwarder import Forwarder
+from turmericrudder.gateway.health_monitor import HealthMonitor
 from turmericrudder.gateway.outcome import CompleteResponse, LocalResponse
 from turmericrudder.gateway.retry_state import MIN_RETRY_AFTER
 from turmericrudder.steering import CrashLedger, LoadCollector, RequestKind
@@ -36,6 +37,7 @@
     """
 
     requests_sent = 0
+    opened_at = 0.0
     is_lost = False
 
     def __init__(self, step, limit=None):
@@ -120,6 +122,7 @@
         ["here"],
         LoadCollector(),
         CrashMonitor(SimpleNamespace(crash_ledger=CrashLedger()), None, log),
+        HealthMonitor(catalog, log),
         log,
     )
     forwarder._retry_budgets["s"] = budget or CountingBudget(9)
--- a/turmericrudder/events/catalogue.py
+++ b/turmericrudder/events/catalogue.py
@@ -281,6 +281,13 @@
     "request is accepted again: a target has run it, or the reports have expired",
 )
 
+TARGET_CHECKED = Event(
+    616,
+    "target_checked",
+    INFO,
+    "target that may have started again or become cold said how long it stays cold",
+)
+
 LOOKUP_ANSWERED = Event(
     701, "lookup_answered", DEBUG, "look-up returned a list of entry instances"
 )
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -53,6 +53,8 @@
     :param load_collector: a :class:`~turmericrudder.steering.LoadCollector` for the
         targets' load reports.
     :param crash_monitor: a :class:`~.crash_monitor.CrashMonitor`.
+    :param health_monitor: the :class:`~.health_monitor.HealthMonitor` that the balancer
+        asks.
     :param log: for the events of targets; those of a request are in its buffer.
     :ivar scopes: :class:`RequestScopes` of the requests in flight.
     :ivar stops_at: monotonic time from which this instance may cancel them; no attempt
@@ -66,6 +68,7 @@
         "_connection_pool",
         "_crash_monitor",
         "_load_collector",
+        "_health_monitor",
         "_log",
         "_members",
         "_retry_budgets",
@@ -84,6 +87,7 @@
         members,
         load_collector,
         crash_monitor,
+        health_monitor,
         log,
     ):
         self._settings = settings
@@ -93,6 +97,7 @@
         self._members = members
         self._load_collector = load_collector
         self._crash_monitor = crash_monitor
+        self._health_monitor = health_monitor
         self._log = log
         self._retry_budgets = {}
         self._started_at = anyio.current_time()
@@ -130,6 +135,10 @@
                 ):
                     # Other instances still have time for it.
                     return state.make_failure_response("stopping", MIN_RETRY_AFTER)
+                case NoTarget(NoTargetReason.ALL_COLD) if await state.wait_once(
+                    self._health_monitor.wait_for_check
+                ):
+                    continue  # a target may have said that it is warm
                 case NoTarget(reason, retry_after):
                     return state.make_failure_response(reason.value, retry_after)
             if not state.attempted_ids:
@@ -232,6 +241,7 @@
         except ConnectFailed as exc:
             now = anyio.current_time()
             target.eject(now)
+            target.cold.doubt(now)
             self._connection_pool.close_idle(target.endpoint.id)
             outcome = ConnectFailure(str(exc))
         except ResponseFailed as exc:
@@ -239,6 +249,7 @@
             target.record_failure(now)
             outcome = ResponseFailure(str(exc))
             if connection.is_lost:
+                target.cold.doubt(now)
                 state.lost_attempt_count += 1
                 self._crash_monitor.record_lost_attempt(request, target, known_depth)
         finally:
@@ -259,6 +270,7 @@
         is_head = request.method == "HEAD"
         await connection.send_request(head, body, request.attempt_id, is_head)
         headers = dict(connection.headers)
+        self._record_contact(target, connection)
         self._record_load_report(target, headers)
         self._record_rate_limit(target, headers)
         not_executed_reason = _get_not_executed_reason(connection.status, headers)
@@ -286,6 +298,13 @@
         )
         return CompleteResponse(connection.status, connection.headers, body)
 
+    def _record_contact(self, target, connection):
+        profile = self._catalog.get_profile(target.endpoint.service)
+        if profile is not None:
+            target.cold.record_contact(
+                profile.cold_start, connection.opened_at, anyio.current_time()
+            )
+
     def _record_load_report(self, target, headers):
         text = headers.get(protocol.SERVER_LOAD_HEADER)
         if text is None:
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -30,6 +30,7 @@
 from .crash_monitor import CrashMonitor
 from .crash_publisher import CrashPublisher
 from .forwarder import Forwarder
+from .health_monitor import HealthMonitor
 from .load_exchange import LoadExchange
 from .members import Members
 from .peer_sync import PeerApplication, PeerClient
@@ -98,7 +99,10 @@
             self._handle_own_entry_removed,
         )
         catalog = self.cached_state.catalog
-        balancer = Balancer(settings, catalog, self.members, self._random)
+        self.health_monitor = HealthMonitor(catalog, self.log)
+        balancer = Balancer(
+            settings, catalog, self.members, self._random, self.health_monitor.ask
+        )
         load_collector = LoadCollector()
         self.store = MetadataStoreClient(settings.store)
         self.crash_monitor = CrashMonitor(
@@ -114,6 +118,7 @@
             self.members,
             load_collector,
             self.crash_monitor,
+            self.health_monitor,
             self.log,
         )
         peer_client = PeerClient()
@@ -189,6 +194,7 @@
             "blocked_requests": len(self.cached_state.crash_ledger.get_blocked()),
             "crash_reports": len(self.cached_state.crash_ledger),
             "ended_targets": self.crash_monitor.ended_count,
+            "health_checks": self.health_monitor.check_count,
             "cold_sender": int(self.members.senders.may_send(get_boot_time())),
             "connections_opened": self.connection_pool.opened_count,
             "load_exchanges": self.load_exchange.exchange_count,
@@ -213,6 +219,7 @@
                     self.store_sync.run,
                     self.load_exchange.run,
                     self.crash_monitor.run,
+                    self.health_monitor.run,
                     self._register,
                     self._run_housekeeping,
                 ):
--- a/turmericrudder/gateway/members.py
+++ b/turmericrudder/gateway/members.py
@@ -109,9 +109,9 @@
         region = self._settings.regions.get(endpoint.failure_domain)
         return self.senders.get_share(endpoint.id, region, bound, get_boot_time())
 
-    def is_view_current(self):
-        """Return whether changes in the store are known to this instance."""
-        return self.senders.is_view_current(get_boot_time())
+    def get_view_age(self):
+        """Return the seconds since the store's content was as it is known here."""
+        return self.senders.get_view_age(get_boot_time())
 
     def get_rate_share(self, endpoint, sender_count):
         """Return this instance's share of the request rate that a target accepts.
--- a/turmericrudder/gateway/peer_sync.py
+++ b/turmericrudder/gateway/peer_sync.py
@@ -4,9 +4,12 @@
 the memory of every process for a few calls in an outage.
 """
 
+from typing import Annotated
+
 import httpcore
 import msgspec
 
+from ..clock import get_boot_time
 from ..errors import PeerUnreachable
 from ..http_client import TRANSPORT_ERRORS, make_timeout_extensions, send_bounded
 from ..platform import Deletion, StoreEntry
@@ -37,6 +40,11 @@
 TRANSFER_TIMEOUT = 2.0  # seconds for the body, after the wait for the head
 
 
+ViewAge = Annotated[
+    float, msgspec.Meta(ge=-MAX_WAIT_MS / MS_PER_SECOND, le=MAX_SECONDS)
+]
+
+
 class _Entry(msgspec.Struct, array_like=True):
     """A change of a key; a ``value`` of ``None`` is a deletion."""
 
@@ -54,8 +62,9 @@
     :param era: the store's era, in which the revisions count.
     :param contact_age: seconds since the store last responded to the instance, or
         ``None`` if it has not yet or the instance does not watch the store itself.
-    :param view_age: seconds since the store's content was as the instance knows it,
-        ``None`` if it has not read it.
+    :param view_age: seconds from the time when the store's content was as the instance
+        knows it to the arrival of the poll, negative if it was later; ``None`` if it
+        has not read it.
     """
 
     revision: Revision
@@ -63,7 +72,7 @@
     entries: list[_Entry]
     contact_age: Seconds | None = None
     era: NonNegativeInteger | None = None
-    view_age: Seconds | None = None
+    view_age: ViewAge | None = None
 
     def get_events(self):
         """Return the entries as :class:`StoreEntry` and :class:`Deletion` objects."""
@@ -104,6 +113,7 @@
 
     async def respond(self, path, query):
         """Return (status, content type, body)."""
+        arrived_at = get_boot_time()
         fields = dict(part.partition(b"=")[::2] for part in query.split(b"&"))
         after, wait, era = (
             parse_integer(fields.get(name, default), MAX_REVISION)
@@ -122,7 +132,7 @@
         if update is None:
             return 503, b"text/plain", b""
         update.contact_age = _limit_age(store_sync.get_store_contact_age())
-        update.view_age = _limit_age(store_sync.get_view_age())
+        update.view_age = _limit_age(store_sync.get_view_age(arrived_at))
         return 200, b"application/msgpack", msgspec.msgpack.encode(update)
 
 
@@ -224,7 +234,10 @@
 
 
 def _limit_age(seconds):
-    return None if seconds is None else min(seconds, float(MAX_SECONDS))
+    """Return an age within the range that the receiver accepts."""
+    if seconds is None:
+        return None
+    return max(-MAX_WAIT_MS / MS_PER_SECOND, min(seconds, float(MAX_SECONDS)))
 
 
 def _to_entry(event):
--- a/turmericrudder/gateway/retry_state.py
+++ b/turmericrudder/gateway/retry_state.py
@@ -27,6 +27,7 @@
     """
 
     __slots__ = (
+        "_has_waited",
         "_possible_executions",
         "_server_error",
         "attempt_count",
@@ -42,6 +43,7 @@
         self.connect_failures = 0
         self.lost_attempt_count = 0
         self.attempted_ids = set()
+        self._has_waited = False
         self._possible_executions = 0
         self._server_error = None
 
@@ -50,6 +52,16 @@
         """Whether a target may have executed the request."""
         return self._possible_executions > 0
 
+    async def wait_once(self, wait):
+        """Wait for a sign that a target is usable, unless the request has before.
+
+        :param wait: coroutine function that returns whether there was a sign.
+        """
+        if self._has_waited:
+            return False
+        self._has_waited = True
+        return await wait()
+
     def record_attempt(self):
         """Count an attempt whose request is about to be sent."""
         self.attempt_count += 1
--- a/turmericrudder/gateway/store_sync.py
+++ b/turmericrudder/gateway/store_sync.py
@@ -128,13 +128,14 @@
             return None
         return anyio.current_time() - self._last_contact_at
 
-    def get_view_age(self):
+    def get_view_age(self, now):
         """Return the seconds since the store's content was as it is known here.
 
+        :param now: a time of :func:`~turmericrudder.clock.get_boot_time`.
         :returns: ``None`` if it has not been read yet.
         """
         confirmed_at = self._cached_state.members.senders.view_confirmed_at
-        return get_boot_time() - confirmed_at if confirmed_at > -math.inf else None
+        return now - confirmed_at if confirmed_at > -math.inf else None
 
     def get_watch_duration(self):
         """Return the seconds for which the current watch has waited, 0 without one."""
@@ -215,6 +216,8 @@
         for event in response.events:
             self._apply_event(event)
         self.change_log.advance(response.revision)
+        if not response.events and response.revision <= after:
+            as_of += WATCH_TIMEOUT  # for so long the store saw no change
         self._cached_state.members.senders.confirm_view(as_of)
         self._store_revision = max(self._store_revision, response.revision)
         if response.events:
@@ -239,7 +242,9 @@
                 continue
             is_current = self._apply_update(update)
             if is_current and self._is_synced and update.view_age is not None:
-                self._cached_state.members.senders.confirm_view(as_of - update.view_age)
+                self._cached_state.members.senders.confirm_view(
+                    min(as_of - update.view_age, get_boot_time())
+                )
             contact_age = update.contact_age
             if (
                 is_current
--- a/turmericrudder/gateway/upstream_connection.py
+++ b/turmericrudder/gateway/upstream_connection.py
@@ -47,6 +47,7 @@
         ) from None
     except OSError as exc:
         raise ConnectFailed(f"{address}: {exc}") from None
+    connection.opened_at = started_at
     connection.round_trip = loop.time() - started_at
     return connection
 
@@ -54,13 +55,18 @@
 class UpstreamConnection(asyncio.Protocol):
     """A connection to a target that detects whether it can be reused.
 
+    :ivar opened_at: monotonic time at which opening it began.
     :ivar round_trip: seconds that opening the connection took.
+    :ivar on_idle_end: called without arguments if the target ends the connection while
+        it is idle, or ``None``.
     :ivar requests_sent: number of requests sent on the connection.
     :ivar is_lost: whether the connection ended while a request was in progress on it.
     """
 
     def __init__(self):
+        self.opened_at = 0.0
         self.round_trip = None
+        self.on_idle_end = None
         self.requests_sent = 0
         self.is_lost = False
         self._parser = ResponseParser()
@@ -99,6 +105,7 @@
     def close(self):
         """Close at once, which cancels a request in flight."""
         self._is_closed = True
+        self.on_idle_end = None
         if self._transport is not None:
             self._abort()
 
@@ -211,6 +218,9 @@
 
     def _handle_end(self, reason):
         self._parser.must_close = True
+        if not self._has_request and self.on_idle_end is not None:
+            on_idle_end, self.on_idle_end = self.on_idle_end, None
+            on_idle_end()
         if self._has_request and not self._parser.is_complete:
             self._parser.feed_eof(reason)
             self._notify_waiter()
--- a/turmericrudder/gateway/upstream_connection_pool.py
+++ b/turmericrudder/gateway/upstream_connection_pool.py
@@ -1,6 +1,7 @@
 """A pool of idle connections to targets."""
 
 from collections import deque
+from functools import partial
 
 import anyio
 
@@ -52,6 +53,7 @@
                 idle.appendleft((connection, idle_since))
                 break
             else:
+                connection.on_idle_end = None
                 return connection
         self.opened_count += 1
         timeout = max(MIN_CONNECT_TIMEOUT, CONNECT_TIMEOUT_ROUND_TRIPS * round_trip)
@@ -68,7 +70,10 @@
         if not connection.is_reusable() or target.is_removed or len(idle) >= max_idle:
             connection.close()
             return
-        idle.append((connection, anyio.current_time()))
+        now = anyio.current_time()
+        ends_at = now + _get_idle_timeout(connection)
+        connection.on_idle_end = partial(_doubt_if_early, target, ends_at)
+        idle.append((connection, now))
 
     def close_idle(self, target_id):
         """Close the idle connections to a target."""
@@ -85,6 +90,13 @@
                 del self._idle[target_id]
 
 
+def _doubt_if_early(target, ends_at):
+    """Take the end of an idle connection before its timeout for a restart."""
+    now = anyio.current_time()
+    if now < ends_at:
+        target.cold.doubt(now)
+
+
 def _get_idle_timeout(connection):
     if connection.keepalive_timeout is None:
         return DEFAULT_IDLE_TIMEOUT
--- a/turmericrudder/platform/__init__.py
+++ b/turmericrudder/platform/__init__.py
@@ -6,6 +6,7 @@
 from . import protocol
 from .crash_reports import decode_crash_report, encode_crash_report, get_crash_key
 from .evacuations import get_evacuated_domain
+from .health_checks import decode_cold_time, encode_health_check
 from .members import decode_member, encode_member, get_member_key, get_member_name
 from .resolution import decode_directory_request, encode_directory_response
 from .routing_configuration import decode_routing_configuration
@@ -19,6 +20,7 @@
     "Page",
     "StoreEntry",
     "WatchResponse",
+    "decode_cold_time",
     "decode_crash_report",
     "decode_directory_request",
     "decode_endpoint",
@@ -26,6 +28,7 @@
     "decode_routing_configuration",
     "encode_crash_report",
     "encode_directory_response",
+    "encode_health_check",
     "encode_member",
     "get_crash_key",
     "get_evacuated_domain",
--- a/turmericrudder/platform/protocol.py
+++ b/turmericrudder/platform/protocol.py
@@ -3,6 +3,7 @@
 __all__ = [
     "AFFINITY_KEY_HEADER",
     "ATTEMPT_ID_HEADER",
+    "COLD_HEADER",
     "CONFIGURATION_KEY",
     "CRASH_PREFIX",
     "DEADLINE_HEADER",
@@ -47,6 +48,8 @@
 NOT_EXECUTED_HEADER = b"x-not-executed"
 # Id of the target that responds.
 INSTANCE_ID_HEADER = b"x-instance-id"
+# Milliseconds for which a target stays cold, in the response to a health check.
+COLD_HEADER = b"x-cold-ms"
 # Number of the store's history. It rises each time the store is restored from a copy;
 # revisions of different histories cannot be compared.
 STORE_ERA_HEADER = b"store-era"
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -78,8 +78,11 @@
         failure domains of its region that have instances, all failure domains that
         have instances), ``get_cold_share(endpoint, bound)``, which returns how many
         requests a second this instance may send to a target while it is cold,
-        and what :class:`TargetRateLimiter` needs.
+        ``get_view_age()``, which returns the seconds since the registrations in the
+        store were as they are known here, and what :class:`TargetRateLimiter` needs.
     :param random: a ``random.Random``.
+    :param ask_health: function of a target that asks it whether it is cold, without
+        waiting for the answer.
     :ivar weights: the :class:`~turmericrudder.steering.TargetWeights`.
     """
 
@@ -96,12 +99,14 @@
         "weights",
     )
 
-    def __init__(self, settings, catalog, members, random):
+    def __init__(self, settings, catalog, members, random, ask_health=lambda _: None):
         self._settings = settings
         self._catalog = catalog
         self._members = members
         self._random = random
-        self._candidates = CandidateFinder(settings, catalog, members, random)
+        self._candidates = CandidateFinder(
+            settings, catalog, members, random, ask_health
+        )
         self._estimators = {}  # route name -> ServiceTimeEstimator
         self._planners = {}  # service -> RemoteSharePlanner
         self._service_targets = {}  # (service, home regions) -> ServiceTargets
--- a/turmericrudder/steering/candidate_finder.py
+++ b/turmericrudder/steering/candidate_finder.py
@@ -17,20 +17,27 @@
 
     :param members: as for :class:`Balancer`.
     :param random: a ``random.Random``.
+    :param ask_health: as for :class:`Balancer`.
     """
 
     __slots__ = (
+        "_ask_health",
         "_catalog",
+        "_view_age",
         "_members",
         "_random",
         "_settings",
+        "_view_checked_at",
     )
 
-    def __init__(self, settings, catalog, members, random):
+    def __init__(self, settings, catalog, members, random, ask_health):
         self._settings = settings
         self._catalog = catalog
         self._members = members
         self._random = random
+        self._ask_health = ask_health
+        self._view_age = 0.0
+        self._view_checked_at = None
 
     def get_some(self, request, group, order, ranked, others, now):
         """Return some candidates of a group of targets, in the order of the key.
@@ -128,7 +135,12 @@
         profile = self._catalog.get_profile(target.endpoint.service)
         if profile is None or profile.cold_rate is None:
             return True
-        if not target.is_cold(now):
+        if now != self._view_checked_at:
+            self._view_checked_at = now
+            self._view_age = self._members.get_view_age()
+        if target.cold.needs_health(self._view_age, now):
+            self._ask_health(target)
+        if not target.cold.is_limited(self._view_age, now):
             return True
         bounds = self._settings.bounds
         share = self._members.get_cold_share(
--- a/turmericrudder/steering/sender_roster.py
+++ b/turmericrudder/steering/sender_roster.py
@@ -24,13 +24,11 @@
 
 __all__ = ["FORMER_MEMBER_TTL", "JOIN_DELAY", "SHARE_TTL", "SenderRoster"]
 
-SHARE_TTL = 6.0  # seconds
+SHARE_TTL = 4.0  # seconds
 # Seconds; a confirmation that is under way when an instance registers may not show it.
-JOIN_DELAY = SHARE_TTL + 2.0
+JOIN_DELAY = SHARE_TTL + 1.5
 # Seconds; longer than SHARE_TTL and than a stop takes.
 FORMER_MEMBER_TTL = 12.0
-# Seconds for which a view of the store's content stands for its current content.
-VIEW_TTL = 3.0
 # Fraction of the bound that is divided. The rest is left for what is under way to a
 # target before any instance can know that it is cold.
 DIVIDED_FRACTION = 0.8
@@ -99,9 +97,9 @@
         """Record that this instance knows the store's content as of a time."""
         self.view_confirmed_at = max(as_of, self.view_confirmed_at)
 
-    def is_view_current(self, now):
-        """Return whether a change in the store would be known to this instance."""
-        return now < self.view_confirmed_at + VIEW_TTL
+    def get_view_age(self, now):
+        """Return the seconds since the store's content was as it is known here."""
+        return now - self.view_confirmed_at
 
     def may_send(self, now):
         """Return whether this instance may send to cold targets at all."""
