Send a target that has never responded one request at a time

Callers got 502: 26 of 90 requests at once went to a target that had never responded and whose responses were endless bytes; all broke off and spent the retry budget.

Cause: an attempt counted as in flight only when its task ran, so that all requests which were ready at the same moment were selected for the target that looked idle; and a target without any response counted like one that has served thousands.

Attempts count as in flight from their selection. A target gets one request from an instance until its first valid response, of any status; one that breaks off ejects it, for a time that doubles. Requests that only untried targets could take wait for the first response of any of them, for an eighth of the objective, and may then use their slots.

--- a/tests/steering_makers.py
+++ b/tests/steering_makers.py
@@ -92,12 +92,14 @@
     has_synced=False,
     instance_counts=(1, 1, 1),
     members=None,
+    has_responded=True,
 ):
     catalog = EndpointCatalog()
     catalog.set_profiles({"s": PROFILE})
     catalog.has_synced = has_synced
     for number, endpoint in enumerate(endpoints):
         catalog.put(endpoint, number + 1, 0.0)
+        catalog.get_target(endpoint.id).has_responded = has_responded
     members = members or SingleMember(instance_counts, cold_share)
     balancer = Balancer(SETTINGS, catalog, members, random.Random(1))
     return catalog, balancer
--- a/tests/test_endless_input.py
+++ b/tests/test_endless_input.py
@@ -204,6 +204,69 @@
             server.close()
 
 
+OTHER_MEMBERS = 6
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(("case", "prefix"), [(0, "/read/"), (1, "/e/")])
+async def test_untried_target_with_endless_responses_fails_no_client(
+    tmp_path, case, prefix
+):
+    """26 of 90 requests at once went to it, the retry budget ended, clients got 502.
+
+    In the second case, the gateway has no response of any target yet.
+    """
+    async with Rig(BASE + 320 + 90 * case, tmp_path, targets=4) as rig:
+        for target in rig.targets:
+            target.service_time = 0.05
+        server = make_endless_target(rig.get_port(40), "header lines")
+        service = "s1" if case == 0 else "s2"
+        entries = {"servers/e": make_registration(rig.get_port(40), service=service)}
+        if case == 1:
+            entries |= {
+                f"servers/{target.target_id}": make_registration(
+                    rig.get_target_port(number), seq=2, service=service
+                )
+                for number, target in enumerate(rig.targets)
+            }
+        # Instances of another region, with which this one shares the retry budget.
+        for number in range(OTHER_MEMBERS):
+            entries[f"members/m{number}"] = {
+                "address": f"{HOST}:1",
+                "peer_address": f"{HOST}:1",
+                "failure_domain": "b1",
+                "region": "b",
+                "nonce": "n",
+                "capacity": 1,
+            }
+        routes = [make_route("new", prefix, service=service, slo_ms=2000)]
+        await rig.put(
+            {**entries, protocol.CONFIGURATION_KEY: make_configuration(2, routes)}
+        )
+
+        async def knows_target():
+            return (
+                await rig.get_metric(0, "targets") == 5
+                and await rig.get_metric(0, "members") == 1 + OTHER_MEMBERS
+            )
+
+        await wait_for(knows_target, 5)
+        await anyio.sleep(1.1)  # it is cold before
+        statuses = []
+
+        async def request():
+            response = await rig.send_request(f"{prefix}x")
+            statuses.append(response.status)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(90):
+                tasks.start_soon(request)
+        assert statuses.count(502) == 0
+        assert statuses.count(200) >= 85
+        assert server.accepted <= 12
+        server.close()
+
+
 @pytest.mark.anyio
 async def test_endless_body_ends_with_the_client_or_at_the_timeout(tmp_path):
     def get_parts(received):
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -40,6 +40,9 @@
 # No hedge is sent if more than this fraction of the retry budget would be in use
 # afterwards. The rest is left to retries.
 HEDGE_BUDGET_FRACTION = 0.5
+# Fraction of the objective for which a request waits for the first response of any
+# target that could take it. The rest suffices for the request, or for a client's retry.
+TRIAL_WAIT_FRACTION = 0.125
 # Seconds after which a client may send a blocked request again. It is blocked for
 # minutes after the last target has ended under it.
 BLOCKED_RETRY_AFTER = 60.0
@@ -74,6 +77,7 @@
         "_retry_budgets",
         "_settings",
         "_started_at",
+        "_trial_ended",
         "scopes",
         "stops_at",
     )
@@ -102,6 +106,7 @@
         self._retry_budgets = {}
         self._started_at = anyio.current_time()
         self._attempt_numbers = itertools.count(1)
+        self._trial_ended = anyio.Event()
         self.scopes = RequestScopes()
         self.stops_at = math.inf
 
@@ -139,6 +144,11 @@
                     self._health_monitor.wait_for_check
                 ):
                     continue  # a target may have said that it is warm
+                case NoTarget(NoTargetReason.ALL_UNTRIED) if (
+                    not state.has_waited_for_trials
+                ):
+                    await self._wait_for_trial(state)
+                    continue
                 case NoTarget(reason, retry_after):
                     return state.make_failure_response(reason.value, retry_after)
             if not state.attempted_ids:
@@ -147,20 +157,53 @@
                 return state.make_failure_response(
                     "retry_budget", selection.expected_latency
                 )
-            self._balancer.record_attempt(selection, selection_request, now)
-            outcome = await self._run_attempt_with_hedge(state, selection, now)
+            run_attempt = self._begin_attempt(state, selection, selection_request, now)
+            try:
+                outcome = await self._run_with_hedge(state, selection, run_attempt, now)
+            finally:
+                state.end_begun_attempts()
             may_retry = state.may_retry(outcome)
             if not (may_retry and self._crash_monitor.may_retry(request)):
                 return state.make_final_response(outcome, selection.expected_latency)
 
-    async def _run_attempt_with_hedge(self, state, selection, now):
+    async def _wait_for_trial(self, state):
+        """Wait until an attempt at an untried target has ended, for a limited time."""
+        request = state.request
+        until = request.arrived_at + TRIAL_WAIT_FRACTION * request.route.objective
+        with anyio.move_on_at(until) as scope:
+            await self._trial_ended.wait()
+        state.has_waited_for_trials = scope.cancelled_caught
+
+    def _end_trial(self, target, outcome):
+        """Record whether a target has responded for the first time.
+
+        :param outcome: ``None`` if the attempt was cancelled.
+        """
+        if isinstance(outcome, CompleteResponse | StreamingResponse):
+            target.has_responded = True
+        self._trial_ended.set()
+        self._trial_ended = anyio.Event()
+
+    def _begin_attempt(self, state, selection, selection_request, now, is_hedge=False):
+        """Count an attempt and return a coroutine function that runs it.
+
+        It counts as in flight at once: many requests may be selected for before the
+        first of their tasks runs.
+        """
+        self._balancer.record_attempt(selection, selection_request, now)
+        attempt_number = next(self._attempt_numbers)
+        selection.target.start_request(attempt_number, now)
+        state.begun_attempts.append((selection.target, attempt_number))
+        return partial(self._run_attempt, state, selection, attempt_number, is_hedge)
+
+    async def _run_with_hedge(self, state, selection, run_attempt, now):
         """Run an attempt, and a hedge if it is slow; return the better outcome."""
         request = state.request
         if not request.route.is_idempotent or request.body is None:
-            return await self._run_attempt(state, selection)
+            return await run_attempt()
         until_objective = request.arrived_at + request.route.objective - now
         return await run_hedged(
-            partial(self._run_attempt, state, selection),
+            run_attempt,
             get_hedge_delay(selection.expected_latency, until_objective),
             partial(self._make_hedge, state, selection),
         )
@@ -183,8 +226,9 @@
         budget = self._get_retry_budget(state.request.service)
         if not budget.try_spend(now, len(self._members), HEDGE_BUDGET_FRACTION):
             return None
-        self._balancer.record_attempt(selection, selection_request, now)
-        return partial(self._run_attempt, state, selection, is_hedge=True)
+        return self._begin_attempt(
+            state, selection, selection_request, now, is_hedge=True
+        )
 
     def _make_selection_request(self, state, in_flight_target_id=None):
         """Return the :class:`~turmericrudder.steering.SelectionRequest` of an attempt.
@@ -203,17 +247,18 @@
             in_flight_target_id=in_flight_target_id,
             may_use_untried_target=in_flight_target_id is None
             or state.may_use_untried_target(),
+            has_waited_for_trials=state.has_waited_for_trials,
         )
 
-    async def _run_attempt(self, state, selection, is_hedge=False):
+    async def _run_attempt(self, state, selection, attempt_number, is_hedge):
         """Run one attempt and return its outcome.
 
+        :param attempt_number: by which the target counts it as in flight.
         :param is_hedge: whether an earlier attempt is still in flight.
         """
         request, target = state.request, selection.target
+        is_trial = not target.has_responded
         state.attempted_ids.add(target.endpoint.id)
-        attempt_number = next(self._attempt_numbers)
-        target.start_request(attempt_number, anyio.current_time())
         connection, outcome = None, None
         try:
             must_be_fresh = not request.route.is_idempotent
@@ -248,12 +293,16 @@
             now = anyio.current_time()
             target.record_failure(now)
             outcome = ResponseFailure(str(exc))
+            if not target.has_responded:
+                target.eject(now)
             if connection.is_lost:
                 target.cold.doubt(now)
                 state.lost_attempt_count += 1
                 self._crash_monitor.record_lost_attempt(request, target, known_depth)
         finally:
             target.end_request(attempt_number)
+            if is_trial:
+                self._end_trial(target, outcome)
             if connection is not None:
                 self._release_connection(target, connection, outcome)
             log_attempt_ended(request, target, outcome)
--- a/turmericrudder/gateway/retry_state.py
+++ b/turmericrudder/gateway/retry_state.py
@@ -24,6 +24,10 @@
     :ivar lost_attempt_count: attempts whose connection ended before the response did.
     :ivar attempted_ids: ids of all targets chosen so far, including those that refused
         the connection.
+    :ivar begun_attempts: (target, attempt number) of the attempts that may be counted
+        as in flight at their targets.
+    :ivar has_waited_for_trials: whether it has waited for the first response of any
+        target that could take it.
     """
 
     __slots__ = (
@@ -32,7 +36,9 @@
         "_server_error",
         "attempt_count",
         "attempted_ids",
+        "begun_attempts",
         "connect_failures",
+        "has_waited_for_trials",
         "lost_attempt_count",
         "request",
     )
@@ -43,6 +49,8 @@
         self.connect_failures = 0
         self.lost_attempt_count = 0
         self.attempted_ids = set()
+        self.begun_attempts = []
+        self.has_waited_for_trials = False
         self._has_waited = False
         self._possible_executions = 0
         self._server_error = None
@@ -52,6 +60,12 @@
         """Whether a target may have executed the request."""
         return self._possible_executions > 0
 
+    def end_begun_attempts(self):
+        """Count no attempt as in flight, not even one that was cancelled early."""
+        for target, attempt_number in self.begun_attempts:
+            target.end_request(attempt_number)
+        self.begun_attempts.clear()
+
     async def wait_once(self, wait):
         """Wait for a sign that a target is usable, unless the request has before.
 
--- a/turmericrudder/steering/candidate_finder.py
+++ b/turmericrudder/steering/candidate_finder.py
@@ -5,6 +5,12 @@
 __all__ = ["CandidateFinder"]
 
 COLD_RETRY_AFTER = 1.0  # seconds, for a request that only cold targets could take
+# Requests in flight from this instance at a target that has never responded: it may
+# answer none of them. Requests that have waited for another target may use its slots.
+MAX_TRIALS = 1
+UNTRIED_RETRY_AFTER = (
+    0.25  # seconds, for a request that only untried targets could take
+)
 # Seconds; a target may also end its limit before this instance may send to it again.
 MAX_LIMITED_RETRY_AFTER = 2.0
 
@@ -12,8 +18,9 @@
 class CandidateFinder:
     """Finds the candidates for a request among the targets of its service.
 
-    A candidate is usable, was not attempted yet, is not ejected, and its limits on the
-    request rate allow this instance one more request.
+    A candidate is usable, was not attempted yet, is not ejected, its limits on the
+    request rate allow this instance one more request, and it has responded before or
+    has few requests in flight.
 
     :param members: as for :class:`Balancer`.
     :param random: a ``random.Random``.
@@ -87,13 +94,24 @@
         ]
         if not any(reachable):
             reachable = allowed  # If all targets are ejected, that is ignored.
-        local, remote = (
+        within_limits = [
             [target for target in targets if self._can_take_request(target, now)]
             for targets in reachable
-        )
-        if not local and not remote:
+        ]
+        if not any(within_limits):
             return self._make_no_target([*reachable[0], *reachable[1]], now)
-        return local, remote
+        tried = [
+            [target for target in targets if target.may_try(MAX_TRIALS)]
+            for targets in within_limits
+        ]
+        if not any(tried) and request.has_waited_for_trials:
+            tried = [
+                [target for target in targets if target.may_try(target.endpoint.slots)]
+                for targets in within_limits
+            ]
+        if not any(tried):
+            return NoTarget(NoTargetReason.ALL_UNTRIED, UNTRIED_RETRY_AFTER)
+        return tuple(tried)
 
     def _make_no_target(self, targets, now):
         """Return :class:`NoTarget` for targets none of which can take a request now."""
@@ -111,6 +129,7 @@
     def _is_candidate(self, target, request, now):
         return (
             now >= target.ejected_until
+            and target.may_try(MAX_TRIALS)
             and self._is_allowed(target, request)
             and self._can_take_request(target, now)
         )
--- a/turmericrudder/steering/selection.py
+++ b/turmericrudder/steering/selection.py
@@ -19,6 +19,8 @@
       more requests now.
     - ``ALL_LIMITED``: some of the remaining targets have named a limit on their request
       rate, and this instance's part of it is used up; others are cold.
+    - ``ALL_UNTRIED``: the remaining targets have not responded to any request yet, and
+      have enough in flight.
     - ``TOO_LATE``: the response is expected after the request's deadline.
     """
 
@@ -26,6 +28,7 @@
     NONE_ALLOWED = "none_allowed"
     ALL_COLD = "all_cold"
     ALL_LIMITED = "all_limited"
+    ALL_UNTRIED = "all_untried"
     TOO_LATE = "too_late"
 
 
@@ -41,6 +44,8 @@
         be selected again for a hedge; ``None`` for other attempts.
     :param may_use_untried_target: whether a target that the request was not sent to
         may be selected.
+    :param has_waited_for_trials: whether targets that have not responded to any request
+        yet may get as many as they have slots.
     """
 
     service: str
@@ -51,6 +56,7 @@
     attempted_ids: frozenset[str] = frozenset()
     in_flight_target_id: str | None = None
     may_use_untried_target: bool = True
+    has_waited_for_trials: bool = False
 
     @property
     def order_key(self):
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -27,6 +27,7 @@
     :ivar revision: revision of the registration in the store.
     :ivar cold: the :class:`ColdTracker`.
     :ivar ejected_until: time until which the target is ejected.
+    :ivar has_responded: whether it has given a valid response, of any status.
     :ivar is_removed: whether the registration was removed or replaced, or a response
         with status 421 showed that another target has the address.
     :ivar rate_limiter: the :class:`TargetRateLimiter`, for the limit that the target
@@ -50,6 +51,7 @@
         "cold",
         "ejected_until",
         "endpoint",
+        "has_responded",
         "is_removed",
         "mean_service_time",
         "rate_limiter",
@@ -63,6 +65,7 @@
         self.revision = revision
         self.cold = ColdTracker()
         self.ejected_until = 0.0
+        self.has_responded = False
         self.is_removed = False
         self.rate_limiter = TargetRateLimiter()
         self.round_trip = None
@@ -83,6 +86,13 @@
         """Number of in-flight requests from this instance."""
         return len(self._start_times)
 
+    def may_try(self, most):
+        """Return whether one more request is within the bound of an untried target.
+
+        :param most: requests in flight at a target that has not responded yet.
+        """
+        return self.has_responded or len(self._start_times) < most
+
     def is_cold(self, now):
         """Return whether the target is known to be cold: its caches are empty."""
         return self.cold.is_cold(now)
@@ -177,6 +187,7 @@
         :param service_time: seconds, divided by the target's slowdown.
         """
         self._last_response_at = now
+        self.has_responded = True
         if self.mean_service_time is None:
             self.mean_service_time = service_time
         self.mean_service_time += SERVICE_TIME_WEIGHT * (
@@ -188,6 +199,7 @@
     def record_not_executed(self, now):
         """Count a request that was not executed, according to the target's response."""
         self._last_response_at = now
+        self.has_responded = True
         self._ejection_count = 0
         self._update_failure_rate(1.0, now)
 
