Answer health checks in the stand-ins of targets

The crashing target of test_no_request_is_refused_when_targets_end_by_other_causes failed with a KeyError on a request without the header of the expected instance, as a health check is; it now answers as the platform's targets do. The test checks what it did.

--- a/standins/target.py
+++ b/standins/target.py
@@ -9,6 +9,8 @@
 
 __all__ = ["TargetApplication"]
 
+HEALTH_PATH = "/health"
+
 
 class TargetFault(msgspec.Struct):
     """Faults of a target.
@@ -57,6 +59,9 @@
         headers = dict(scope["headers"])
         attempt_id = headers.get(protocol.ATTEMPT_ID_HEADER, b"")
         body = await read_body(receive)
+        if scope["path"] == HEALTH_PATH:
+            await send_response(send, 200, b"", self._make_headers(attempt_id))
+            return
         if headers.get(protocol.EXPECTED_INSTANCE_HEADER) != self.target_id.encode():
             await send_response(send, 421, b"", self._make_headers(attempt_id))
             return
--- a/tests/crashing_target.py
+++ b/tests/crashing_target.py
@@ -88,6 +88,12 @@
     async def _run(self, path, headers, writer):
         if self._server is None:
             return False
+        if path == "/health":
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nx-instance-id: %s\r\nx-cold-ms: 0\r\n"
+                b"content-length: 0\r\n\r\n" % f"{self._name}-{self._starts}".encode()
+            )
+            return True
         if headers["x-expect-instance"] != f"{self._name}-{self._starts}":
             writer.write(b"HTTP/1.1 421 M\r\ncontent-length: 0\r\n\r\n")
             return True
