Bound an untried target by its slots, and a new one by two requests

A target that is registered after the first synchronization gets two requests until it has responded, since others serve meanwhile; one that was there before gets as many as it has slots, after a wait twice as many. After a failure it gets one at a time. Another region is no substitute for waiting for a first response.

Health checks failed at targets that answer with an empty attempt id: a response to a request without one is accepted with any.

--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -294,7 +294,7 @@
             target.record_failure(now)
             outcome = ResponseFailure(str(exc))
             if not target.has_responded:
-                target.eject(now)
+                target.record_failed_trial(now)
             if connection.is_lost:
                 target.cold.doubt(now)
                 state.lost_attempt_count += 1
--- a/turmericrudder/gateway/response_parser.py
+++ b/turmericrudder/gateway/response_parser.py
@@ -62,7 +62,8 @@
     def start(self, attempt_id, is_head_request, is_first):
         """Prepare for the response to a request.
 
-        :param attempt_id: the attempt id that the response must have.
+        :param attempt_id: the attempt id that the response must have, ``None`` for a
+            request without one on a connection of its own.
         :param is_first: whether it is the first request on the connection.
         """
         self.headers = []
@@ -137,7 +138,8 @@
                 self._fail(f"more than {MAX_INTERIM_RESPONSES} interim responses")
             return
         attempt_id = get_header(self.headers, protocol.ATTEMPT_ID_HEADER)
-        if attempt_id is not None and attempt_id != self._expected_attempt_id:
+        expected_id = self._expected_attempt_id
+        if expected_id is not None and attempt_id not in (None, expected_id):
             # A late response to an earlier request; the expected one may follow.
             self._is_skipping_message = self.must_close = True
         elif attempt_id is None and not self._is_first_request:
--- a/turmericrudder/gateway/upstream_connection.py
+++ b/turmericrudder/gateway/upstream_connection.py
@@ -114,7 +114,7 @@
 
         :param head: the request's head as bytes, with the empty line.
         :param body: bytes, or an async iterator of chunks, encoded as ``head`` says.
-        :param attempt_id: the attempt id that the response must have.
+        :param attempt_id: the attempt id that the response must have, or ``None``.
         :raises ResponseFailed: if no valid response arrived; the request may have
             been executed.
         """
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -20,7 +20,7 @@
 import math
 from dataclasses import dataclass
 
-from .candidate_finder import CandidateFinder
+from .candidate_finder import UNTRIED_RETRY_AFTER, CandidateFinder
 from .region_shift_limiter import RegionShiftLimiter
 from .remote_share_planner import RegionCapacity, RemoteSharePlanner
 from .selection import NoTarget, NoTargetReason, Selection
@@ -145,6 +145,12 @@
             LOCAL_RANDOM,
             now,
         )
+        must_wait = self._candidates.has_skipped_untried and (
+            not request.has_waited_for_trials
+        )
+        if not local and must_wait:
+            # Other regions are no substitute for the time of a first response.
+            return NoTarget(NoTargetReason.ALL_UNTRIED, UNTRIED_RETRY_AFTER)
         remote = self._candidates.get_some(
             request,
             service_targets.remote,
--- a/turmericrudder/steering/candidate_finder.py
+++ b/turmericrudder/steering/candidate_finder.py
@@ -2,15 +2,11 @@
 
 from .selection import NoTarget, NoTargetReason
 
-__all__ = ["CandidateFinder"]
-
-COLD_RETRY_AFTER = 1.0  # seconds, for a request that only cold targets could take
-# Requests in flight from this instance at a target that has never responded: it may
-# answer none of them. Requests that have waited for another target may use its slots.
-MAX_TRIALS = 1
-UNTRIED_RETRY_AFTER = (
-    0.25  # seconds, for a request that only untried targets could take
-)
+__all__ = ["UNTRIED_RETRY_AFTER", "CandidateFinder"]
+
+# Seconds, for a request that only cold targets, or only untried ones, could take.
+COLD_RETRY_AFTER = 1.0
+UNTRIED_RETRY_AFTER = 0.25
 # Seconds; a target may also end its limit before this instance may send to it again.
 MAX_LIMITED_RETRY_AFTER = 2.0
 
@@ -25,6 +21,8 @@
     :param members: as for :class:`Balancer`.
     :param random: a ``random.Random``.
     :param ask_health: as for :class:`Balancer`.
+    :ivar has_skipped_untried: whether the last call of :meth:`get_some` left out a
+        target because it has not responded yet and has enough requests in flight.
     """
 
     __slots__ = (
@@ -35,6 +33,7 @@
         "_random",
         "_settings",
         "_view_checked_at",
+        "has_skipped_untried",
     )
 
     def __init__(self, settings, catalog, members, random, ask_health):
@@ -45,6 +44,7 @@
         self._ask_health = ask_health
         self._view_age = 0.0
         self._view_checked_at = None
+        self.has_skipped_untried = False
 
     def get_some(self, request, group, order, ranked, others, now):
         """Return some candidates of a group of targets, in the order of the key.
@@ -61,6 +61,7 @@
         elif order is None:
             order, ranked, others = (), 0, ranked + others
         candidates = []
+        self.has_skipped_untried = False
         for target in order:
             if self._is_candidate(target, request, now):
                 candidates.append(target)
@@ -100,18 +101,14 @@
         ]
         if not any(within_limits):
             return self._make_no_target([*reachable[0], *reachable[1]], now)
-        tried = [
-            [target for target in targets if target.may_try(MAX_TRIALS)]
+        has_waited = request.has_waited_for_trials
+        tried = tuple(
+            [target for target in targets if target.may_try(has_waited)]
             for targets in within_limits
-        ]
-        if not any(tried) and request.has_waited_for_trials:
-            tried = [
-                [target for target in targets if target.may_try(target.endpoint.slots)]
-                for targets in within_limits
-            ]
+        )
         if not any(tried):
             return NoTarget(NoTargetReason.ALL_UNTRIED, UNTRIED_RETRY_AFTER)
-        return tuple(tried)
+        return tried
 
     def _make_no_target(self, targets, now):
         """Return :class:`NoTarget` for targets none of which can take a request now."""
@@ -129,11 +126,16 @@
     def _is_candidate(self, target, request, now):
         return (
             now >= target.ejected_until
-            and target.may_try(MAX_TRIALS)
             and self._is_allowed(target, request)
             and self._can_take_request(target, now)
+            and self._is_trial_possible(target, request)
         )
 
+    def _is_trial_possible(self, target, request):
+        is_possible = target.may_try(request.has_waited_for_trials)
+        self.has_skipped_untried |= not is_possible
+        return is_possible
+
     def _is_allowed(self, target, request):
         target_id = target.endpoint.id
         is_allowed_untried = (
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -7,6 +7,9 @@
 # Seconds for which a removed registration is remembered, so that a delayed older one
 # cannot restore the target. Longer than the timeout of any call to the store.
 TOMBSTONE_TTL = 60.0
+# Requests in flight from this instance at a target that is registered after the first
+# synchronization, until it responds. It may never do so, and others serve meanwhile.
+MAX_TRIALS_OF_NEW = 2
 
 
 class EndpointCatalog:
@@ -170,6 +173,7 @@
         cold = endpoint.cold_remaining
         if self.has_synced:
             cold = max(cold, self._get_cold_start(endpoint))
+            target.trial_limit = min(MAX_TRIALS_OF_NEW, endpoint.slots)
         if previous is not None:
             previous.is_removed = True
             target.cold = previous.cold.make_successor()
--- a/turmericrudder/steering/selection.py
+++ b/turmericrudder/steering/selection.py
@@ -44,8 +44,8 @@
         be selected again for a hedge; ``None`` for other attempts.
     :param may_use_untried_target: whether a target that the request was not sent to
         may be selected.
-    :param has_waited_for_trials: whether targets that have not responded to any request
-        yet may get as many as they have slots.
+    :param has_waited_for_trials: whether it has waited for the first response of a
+        target, so that the untried ones may get more requests.
     """
 
     service: str
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -14,6 +14,8 @@
 SERVICE_TIME_WEIGHT = 0.1  # weight of one response in the mean service time
 MIN_EJECTION_TIME = 0.25  # seconds, after the first failed connection
 MAX_EJECTION_TIME = 2.0  # seconds; bounds the delay until a recovered target is used
+# Factor on the trial limit for a request that has waited for a first response.
+MAX_WAITED_FACTOR = 2
 STALL_FACTOR = 2.5  # mean service times without a response that count as a stall
 
 
@@ -34,6 +36,7 @@
         named in its last response.
     :ivar round_trip: seconds that the last connection took to open, ``None`` before
         the first.
+    :ivar trial_limit: requests in flight from this instance until the first response.
     :ivar mean_service_time: moving average in seconds at normal speed, ``None``
         before the first response.
     """
@@ -42,6 +45,7 @@
         "_ejection_count",
         "_failure_rate",
         "_failure_rate_at",
+        "_has_failed_trial",
         "_last_response_at",
         "_load_reported_at",
         "_other_load",
@@ -58,6 +62,7 @@
         "recent_keys",
         "revision",
         "round_trip",
+        "trial_limit",
     )
 
     def __init__(self, endpoint, revision=0):
@@ -69,11 +74,13 @@
         self.is_removed = False
         self.rate_limiter = TargetRateLimiter()
         self.round_trip = None
+        self.trial_limit = endpoint.slots
         self.mean_service_time = None
         self.recent_keys = RecentKeys()
         self._ejection_count = 0
         self._failure_rate = 0.0
         self._failure_rate_at = 0.0
+        self._has_failed_trial = False
         self._last_response_at = 0.0
         self._other_load = 0.0  # of other instances
         self._load_reported_at = 0.0
@@ -86,12 +93,22 @@
         """Number of in-flight requests from this instance."""
         return len(self._start_times)
 
-    def may_try(self, most):
+    def may_try(self, has_waited):
         """Return whether one more request is within the bound of an untried target.
 
-        :param most: requests in flight at a target that has not responded yet.
+        :param has_waited: whether the request has waited for a first response.
         """
-        return self.has_responded or len(self._start_times) < most
+        if self.has_responded:
+            return True
+        may_exceed = has_waited and not self._has_failed_trial
+        limit = self.trial_limit * (MAX_WAITED_FACTOR if may_exceed else 1)
+        return len(self._start_times) < limit
+
+    def record_failed_trial(self, now):
+        """Count a request that failed at a target that has never responded."""
+        self._has_failed_trial = True
+        self.trial_limit = 1
+        self.eject(now)
 
     def is_cold(self, now):
         """Return whether the target is known to be cold: its caches are empty."""
