--- a/tests/test_doubted_targets.py
+++ b/tests/test_doubted_targets.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from turmericrudder.platform import decode_cold_time
+from turmericrudder.platform import decode_cold_time, encode_health_check
 from turmericrudder.steering.cold_tracker import (
     HEALTH_TTL,
     MAX_UNASKED_VIEW_AGE,
@@ -75,6 +75,14 @@
     assert decode_cold_time(status, headers, "t") == seconds
 
 
+def test_health_path_cannot_leave_its_line():
+    assert encode_health_check("a:1", "/h?x=1&y=%20").startswith(
+        b"GET /h?x=1&y=%20 HTTP/1.1\r\nHost: a:1\r\n"
+    )
+    head = encode_health_check("a:1", "/h\r\nX: \u20ac y")
+    assert head.count(b"\r\n") == 3 and head.count(b" ") == 3
+
+
 class ColdTarget:
     """A target that starts again under its id, and then says how long it is cold.
 
--- a/turmericrudder/platform/health_checks.py
+++ b/turmericrudder/platform/health_checks.py
@@ -1,15 +1,23 @@
 """Encode health checks of targets and decode their responses."""
 
+from urllib.parse import quote
+
 from ..ranges import MAX_MILLISECONDS, parse_integer
 from ..units import MS_PER_SECOND
 from . import protocol
 
 __all__ = ["decode_cold_time", "encode_health_check"]
 
+SAFE_CHARACTERS = "/?&=%:@,;+!$'()*~"  # of a path and query, besides letters and digits
+
 
 def encode_health_check(address, path):
-    """Return the head of the request for a target's health as bytes."""
-    return f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode("latin-1")
+    """Return the head of the request for a target's health as bytes.
+
+    :param path: as the operator wrote it; what fits into no head is percent-encoded.
+    """
+    target = quote(path, safe=SAFE_CHARACTERS)
+    return f"GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
 
 
 def decode_cold_time(status, headers, target_id):
