--- a/turmericrudder/gateway/response_writer.py
+++ b/turmericrudder/gateway/response_writer.py
@@ -12,6 +12,11 @@
 _REMOVED_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"upgrade")
 )
+# Ways in which the end of a target's body is recognised.
+FRAMING_LENGTH = "length"
+FRAMING_CHUNKED = "chunked"
+FRAMING_CLOSE = "close"  # of the connection
+_BODYLESS_STATUSES = (204, 304)
 
 
 class ResponseWriter:
@@ -21,7 +26,15 @@
         request is rejected before it is parsed.
     """
 
-    __slots__ = ("_instance", "_scope", "_send", "_started_at", "log_buffer", "request")
+    __slots__ = (
+        "_body_fields",
+        "_instance",
+        "_scope",
+        "_send",
+        "_started_at",
+        "log_buffer",
+        "request",
+    )
 
     def __init__(self, scope, send, instance):
         self._scope = scope
@@ -29,6 +42,7 @@
         self._instance = instance
         self._started_at = anyio.current_time()
         self.request = None
+        self._body_fields = {}
         request_headers = dict(scope["headers"])
         self.log_buffer = RequestLogBuffer(
             request_headers.get(protocol.ATTEMPT_ID_HEADER, b"").decode("latin-1")
@@ -37,10 +51,11 @@
     async def write_complete(self, response):
         """Send a target's complete response."""
         headers = self._filter_headers(response.headers)
-        if response.status not in (204, 304):
+        if response.status not in _BODYLESS_STATUSES:
             headers.append((b"content-length", b"%d" % len(response.body)))
         await self._start(response.status, headers)
         await self._write(response.body, False)
+        self._record_body(response, len(response.body))
         self.finish(catalogue.ROUTE_ANSWERED, response.status)
 
     async def write_streaming(self, response):
@@ -51,12 +66,15 @@
         """
         headers = self._filter_headers(response.headers)
         headers += [pair for pair in response.headers if pair[0] == b"content-length"]
+        size = 0
         try:
             await self._start(response.status, headers)
             async for chunk in response.connection.iter_chunks(self.request.expires):
+                size += len(chunk)
                 await self._write(chunk, True)
             await self._write(b"", False)
         finally:
+            self._record_body(response, size)
             response.connection.close()
         self.finish(catalogue.ROUTE_ANSWERED, response.status)
 
@@ -89,11 +107,17 @@
         instance.metrics.increment("requests", status=status, event=event.name)
         if reason is not None:
             instance.metrics.increment("failures", status=status)
+        if self._body_fields:
+            instance.metrics.increment(
+                "bodies", framing=self._body_fields["framing"], event=event.name
+            )
         is_normal = (
             status == 200
             and request is not None
             and seconds <= request.route.objective
             and self.log_buffer.count(catalogue.ROUTE_SENT) == 1
+            # Nothing else shows whether such a body was complete.
+            and self._body_fields.get("framing") != FRAMING_CLOSE
         )
         instance.request_log.finish_request(
             self.log_buffer,
@@ -106,9 +130,30 @@
             object_key=request.affinity_key if request else None,
             version=instance.cached_state.version,
             ms=round(seconds * MS_PER_SECOND, 1),
+            **self._body_fields,
             **fields,
         )
 
+    def _record_body(self, response, size):
+        """Add the framing of the target's body and its size to the last log line."""
+        left = self.request.expires - anyio.current_time()
+        self._body_fields = {
+            "framing": self._get_framing(response),
+            "body_bytes": size,
+            "left_ms": round(left * MS_PER_SECOND, 1),
+        }
+
+    def _get_framing(self, response):
+        names = {name for name, _ in response.headers}
+        if b"transfer-encoding" in names:
+            return FRAMING_CHUNKED
+        is_bodyless = (
+            response.status in _BODYLESS_STATUSES or self.request.method == "HEAD"
+        )
+        if is_bodyless or b"content-length" in names:
+            return FRAMING_LENGTH
+        return FRAMING_CLOSE
+
     def _filter_headers(self, headers):
         return [pair for pair in headers if pair[0] not in _REMOVED_HEADERS]
 
