--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -264,3 +264,22 @@
             connection.data_received(make_response(body))
         assert await connection.read_all(HIGH_WATERMARK_BYTES) == body
         assert await send_and_read(connection, b"b") == b"two"
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "part",
+    [b"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", b"\r\npart"],
+    ids=["chunked", "close"],
+)
+async def test_body_that_stalls_until_the_timeout_is_not_complete(part):
+    for milliseconds in range(20):
+        async with serve(
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n" + part
+        ) as connection:
+            await connection.send_request(REQUEST, b"", b"a")
+            # Of an event loop that counts whole milliseconds, timers may be early.
+            expires = anyio.current_time() + milliseconds * 1.05e-3
+            with pytest.raises(ResponseFailed):
+                async for _ in connection.iter_chunks(expires):
+                    pass
