--- a/turmericrudder/gateway/upstream_connection.py
+++ b/turmericrudder/gateway/upstream_connection.py
@@ -159,22 +159,23 @@
         """
         parser = self._parser
         loop = asyncio.get_running_loop()
-        while True:
+        while not parser.is_complete or parser.buffered_bytes:
+            is_late = False
             try:
                 async with asyncio.timeout_at(expires):
                     await self._wait_for(
                         lambda: parser.buffered_bytes or parser.is_complete
                     )
             except TimeoutError:
-                pass
-            if not parser.is_complete and loop.time() >= expires:
+                # Not asked of the clock, which may be before the time of the timer.
+                is_late = True
+            if not parser.is_complete and (is_late or loop.time() >= expires):
                 raise ResponseFailed("response not complete at the request's timeout")
-            if not parser.buffered_bytes:
-                self._finish_response()
-                return
-            chunk = parser.take_body()
-            self._transport.resume_reading()
-            yield chunk
+            if parser.buffered_bytes:
+                chunk = parser.take_body()
+                self._transport.resume_reading()
+                yield chunk
+        self._finish_response()
 
     # asyncio.Protocol
 
