--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -8,18 +8,15 @@
 
 from ..cancellation import RequestCancelled
 from ..errors import ConnectFailed, ResponseFailed
-from ..events import catalogue
 from ..platform import protocol
 from ..steering import (
     NoTarget,
     NoTargetReason,
     Selection,
     SelectionRequest,
-    ServerLoad,
     WindowedRetryBudget,
     can_hedge,
     get_hedge_delay,
-    parse_rate_limit,
 )
 from .attempt_log import log_attempt_ended, log_attempt_started
 from .hedging import run_hedged
@@ -32,6 +29,7 @@
     StreamingResponse,
 )
 from .request_scopes import RequestScopes
+from .response_observer import ResponseObserver
 from .retry_state import MIN_RETRY_AFTER, RetryState
 from .upstream_connection import HIGH_WATERMARK_BYTES
 
@@ -70,10 +68,9 @@
         "_catalog",
         "_connection_pool",
         "_crash_monitor",
-        "_load_collector",
         "_health_monitor",
-        "_log",
         "_members",
+        "_response_observer",
         "_retry_budgets",
         "_settings",
         "_started_at",
@@ -99,10 +96,11 @@
         self._balancer = balancer
         self._connection_pool = connection_pool
         self._members = members
-        self._load_collector = load_collector
         self._crash_monitor = crash_monitor
         self._health_monitor = health_monitor
-        self._log = log
+        self._response_observer = ResponseObserver(
+            catalog, balancer, load_collector, log
+        )
         self._retry_budgets = {}
         self._started_at = anyio.current_time()
         self._attempt_numbers = itertools.count(1)
@@ -319,9 +317,7 @@
         is_head = request.method == "HEAD"
         await connection.send_request(head, body, request.attempt_id, is_head)
         headers = dict(connection.headers)
-        self._record_contact(target, connection)
-        self._record_load_report(target, headers)
-        self._record_rate_limit(target, headers)
+        self._response_observer.record_head(target, connection, headers)
         not_executed_reason = _get_not_executed_reason(connection.status, headers)
         if not_executed_reason:
             await connection.read_all(HIGH_WATERMARK_BYTES)
@@ -342,65 +338,11 @@
         self._crash_monitor.record_response(request)
         if body is None:
             return StreamingResponse(connection.status, connection.headers, connection)
-        self._record_response(
-            request, target, connection, now - sent_at, selection, now
+        self._response_observer.record_complete(
+            request.route, selection, connection.status, now - sent_at, now
         )
         return CompleteResponse(connection.status, connection.headers, body)
 
-    def _record_contact(self, target, connection):
-        profile = self._catalog.get_profile(target.endpoint.service)
-        if profile is not None:
-            target.cold.record_contact(
-                profile.cold_start, connection.opened_at, anyio.current_time()
-            )
-
-    def _record_load_report(self, target, headers):
-        text = headers.get(protocol.SERVER_LOAD_HEADER)
-        if text is None:
-            return
-        load = ServerLoad.parse(text.decode("latin-1"))
-        if load is not None:
-            now = anyio.current_time()
-            target.record_load_report(load, now)
-            self._load_collector.record(target.endpoint.id, load, now)
-
-    def _record_rate_limit(self, target, headers):
-        """Set or lift the target's limit; a malformed one changes nothing."""
-        text = headers.get(protocol.SERVER_LIMIT_HEADER)
-        limit = parse_rate_limit(text.decode("latin-1")) if text is not None else None
-        if text is not None and limit is None:
-            return
-        limiter = target.rate_limiter
-        if limit is not None and limiter.limit is None:
-            self._log.write(
-                catalogue.TARGET_LIMITED, target=target.endpoint.id, limit=limit
-            )
-        elif limit is None and limiter.limit is not None:
-            self._log.write(catalogue.TARGET_UNLIMITED, target=target.endpoint.id)
-        self._balancer.record_limit(target, limit, anyio.current_time())
-
-    def _record_response(self, request, target, connection, latency, selection, now):
-        """Record a complete response with the target and the route's estimator.
-
-        :param latency: seconds from sending to the end of the response.
-        """
-        if connection.status >= 500:
-            target.record_failure(now)
-            return
-        queue_time = max(
-            0.0,
-            selection.expected_latency
-            - selection.expected_service_time
-            - selection.round_trip,
-        )
-        service_time = (
-            max(0.0, latency - selection.round_trip - queue_time) / selection.slowdown
-        )
-        target.record_response(service_time, now)
-        self._balancer.get_estimator(request.route).record(
-            selection.service_time_key, service_time
-        )
-
     def _release_connection(self, target, connection, outcome):
         match outcome:
             case CompleteResponse() | NotExecuted() | NotAdmitted():
