--- a/turmericrudder/http_protocol.py
+++ b/turmericrudder/http_protocol.py
@@ -2,6 +2,7 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from .request_parser import RequestParser
 from .steering import ClientLimits
 
 __all__ = ["BoundedHttpProtocol"]
@@ -52,6 +53,7 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
+        self.parser = RequestParser(self)
         self._start_idle_timer()
 
     def connection_lost(self, exc):
@@ -91,6 +93,8 @@
             super().on_header(name, value)
 
     def on_headers_complete(self):
+        if self.parser.should_upgrade():
+            return
         self._is_in_head = False
         self._is_head_complete = True
         self._stop_head_timer()
@@ -108,6 +112,8 @@
         super().on_body(body)
 
     def on_message_complete(self):
+        if self.parser.should_upgrade():
+            return
         super().on_message_complete()
         self._is_head_complete = False
         self._framing_bytes = self._body_bytes = 0
