--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -10,6 +10,7 @@
 from standins.asgi import read_body, send_response
 from turmericrudder.http_protocol import BoundedHttpProtocol
 from turmericrudder.server_config import make_server_config
+from turmericrudder.steering import ClientLimits
 
 CHUNKED_BODY = b"3\r\nGET\r\n6\r\n /x HT\r\n0\r\nX-T: 1\r\n\r\n"
 # Pairs of header lines that frame a body of 9 bytes, and the body on the connection.
@@ -64,8 +65,11 @@
         pass
 
 
-def serve_bytes(parts):
-    """Feed a connection with bytes; return its transport and the requests that ran."""
+def serve_bytes(parts, limits=None):
+    """Feed a connection with bytes; return its transport and the requests that ran.
+
+    :param parts: bytes, or seconds to wait.
+    """
     requests = []
 
     async def application(scope, receive, send):
@@ -76,6 +80,7 @@
 
     async def run():
         transport = RecordingTransport()
+        application.limits = limits
         config = make_server_config(application, http=BoundedHttpProtocol)
         config.load()
         protocol = BoundedHttpProtocol(
@@ -83,11 +88,13 @@
         )
         protocol.connection_made(transport)
         for part in parts:
-            if not transport.is_closed:
+            if isinstance(part, float):
+                await asyncio.sleep(part)
+            elif not transport.is_closed:
                 protocol.data_received(part)
             for _ in range(4):
                 await asyncio.sleep(0)
-        protocol.connection_lost(None)
+        protocol.connection_lost(ConnectionResetError())
         return transport
 
     return asyncio.run(run()), requests
@@ -139,3 +146,17 @@
     transport, requests = serve_bytes([data])
     assert requests == [] and transport.is_closed
     assert transport.written.startswith(b"HTTP/1.1 400 ")
+
+
+def test_empty_line_after_a_request_starts_no_timeout_of_a_head():
+    limits = ClientLimits(200, 1000, header_timeout=0.02, idle_timeout=0.1)
+    request = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+    transport, requests = serve_bytes([request, b"\r\n", 0.06, request], limits)
+    assert len(requests) == 2 and not transport.is_closed
+    assert b"408" not in transport.written
+    transport, _ = serve_bytes([request, b"\r\n", 0.15], limits)
+    assert transport.is_closed
+    transport, _ = serve_bytes([b"\r\n" * 200], limits)
+    assert transport.is_closed and transport.written == b""
+    transport, _ = serve_bytes([b"\r\nGET", 0.06], limits)
+    assert transport.written.startswith(b"HTTP/1.1 408 ")
--- a/turmericrudder/http_protocol.py
+++ b/turmericrudder/http_protocol.py
@@ -64,15 +64,20 @@
         if self._is_discarding:
             return
         limits = self._get_limits()
-        if not self._is_in_head and self._is_between_requests():
-            self._start_head_timer(limits)
         self._framing_bytes += len(data)
         super().data_received(data)
         if self.parser is None or self._is_discarding:
             return
+        if not self._is_in_head and self._is_idle():
+            # Empty lines belong to no request, but they have stopped the timer.
+            self._start_idle_timer()
         if not self._is_head_complete:
-            if self._framing_bytes > limits.head_bytes:
+            if self._framing_bytes <= limits.head_bytes:
+                return
+            if self._is_in_head or not self._is_between_requests():
                 self._reject(_HEAD_TOO_LARGE_RESPONSE)
+            else:
+                self.transport.close()  # there is no request to respond to
         elif self._framing_bytes > (
             limits.head_bytes
             + MAX_FRAMING_BYTES
@@ -84,6 +89,8 @@
         self._reject(_BAD_FRAMING_RESPONSE)
 
     def on_message_begin(self):
+        if not self._is_in_head and self._is_between_requests():
+            self._start_head_timer(self._get_limits())
         self._is_head_complete = False
         super().on_message_begin()
 
@@ -137,6 +144,9 @@
             self.cycle.response_complete and not self.cycle.more_body
         )
 
+    def _is_idle(self):
+        return self.timeout_keep_alive_task is None and self._is_between_requests()
+
     def _start_idle_timer(self):
         self.timeout_keep_alive_task = self.loop.call_later(
             self._get_limits().idle_timeout, self.timeout_keep_alive_handler
