--- a/turmericrudder/gateway/__main__.py
+++ b/turmericrudder/gateway/__main__.py
@@ -20,11 +20,11 @@
     import anyio
 
     from ..events import set_up_logging
-    from ..settings import read_gateway_settings
+    from ..settings import read_gateway_settings, read_settings_or_exit
     from .instance import run_gateway
 
     path = os.environ[SETTINGS_VARIABLE]
-    set_up_logging(read_gateway_settings(path))
+    set_up_logging(read_settings_or_exit(read_gateway_settings, path))
     anyio.run(run_gateway, path, backend_options={"use_uvloop": True})
 
 
--- a/turmericrudder/ini.py
+++ b/turmericrudder/ini.py
@@ -9,6 +9,7 @@
 
 __all__ = ["Section", "parse_ini", "read_ini_file"]
 
+MAX_DIGITS = 30  # of a number, before and after its point
 _DURATION_RE = re.compile(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h)?")
 _SECONDS_PER_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, None: 1.0}
 _SIZE_RE = re.compile(r"(\d+)\s*(KiB|MiB|B)?")
@@ -115,8 +116,11 @@
     def get_int(self, key, default=None, low=0, high=2**31):
         """Return a whole number from ``low`` to ``high``."""
         value = self.get_text(key, None if default is None else str(default))
-        if not value.lstrip("-").isdecimal():
+        digits = value.removeprefix("-")
+        if not digits.isdecimal():
             raise self.make_error(key, f"{value!r} is not a whole number")
+        if len(digits) > MAX_DIGITS:
+            raise self.make_error(key, f"more than {MAX_DIGITS} digits")
         return self._check_range(key, int(value), low, high)
 
     def get_float(self, key, default=None, low=0.0, high=1e12):
@@ -164,6 +168,8 @@
                 f"{value!r} is not a number with an optional unit"
                 " (durations: ms, s, m, h; sizes: B, KiB, MiB)",
             )
+        if len(match[1]) > MAX_DIGITS:
+            raise self.make_error(key, f"more than {MAX_DIGITS} digits")
         return number_type(match[1]) * units[match[2]]
 
     def _check_range(self, key, number, low, high):
--- a/turmericrudder/settings/__init__.py
+++ b/turmericrudder/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from .bounds import BoundSettings
 from .entry import EntrySettings, read_entry_settings
+from .file import read_settings_or_exit
 from .gateway import GatewaySettings, read_gateway_settings
 from .limits import LimitSettings
 from .machine import MachineSettings
@@ -19,4 +20,5 @@
     "read_entry_settings",
     "read_gateway_settings",
     "read_operator_settings",
+    "read_settings_or_exit",
 ]
--- a/turmericrudder/settings/file.py
+++ b/turmericrudder/settings/file.py
@@ -1,9 +1,13 @@
 """Reading of settings files."""
 
+import sys
+
 from ..errors import SettingsInvalid
 from ..ini import Section, read_ini_file
 
-__all__ = ["read_settings"]
+__all__ = ["read_settings", "read_settings_or_exit"]
+
+INVALID_STATUS = 3  # exit status, the same as of the command line
 
 
 def read_settings(path, allowed, required, build):
@@ -22,3 +26,17 @@
     for section in sections.values():
         section.reject_unknown_keys()
     return settings
+
+
+def read_settings_or_exit(read, path):
+    """Return the settings of a process that starts.
+
+    With an invalid file, the process prints the error and exits.
+
+    :param read: function of the path that returns the settings.
+    """
+    try:
+        return read(path)
+    except SettingsInvalid as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(INVALID_STATUS)
--- a/turmericrudder/settings/gateway.py
+++ b/turmericrudder/settings/gateway.py
@@ -6,6 +6,7 @@
 from .bounds import BoundSettings
 from .file import read_settings
 from .machine import MachineSettings
+from .peers import read_addresses
 
 __all__ = ["GatewaySettings", "read_gateway_settings"]
 
@@ -93,7 +94,7 @@
         listen_metrics=listen.get_address("metrics"),
         store=store.get_address("address"),
         lease_min=store.get_duration("lease_min"),
-        seeds=tuple(map(Address.parse, listen.get_list("seeds", ""))),
+        seeds=read_addresses(listen, "seeds"),
         regions={name: regions.get_text(name) for name in list(regions)},
         bounds=BoundSettings.read(sections["bounds"]),
         machine=MachineSettings.read(sections["machine"]),
