--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,7 +57,14 @@
 
 
 def test_handled_signals_of_a_process_are_known():
-    assert handles_signal(os.getpid(), signal.SIGINT)
+    # A shell starts commands in the background with SIGINT ignored.
+    handler = signal.signal(signal.SIGINT, signal.default_int_handler)
+    try:
+        assert handles_signal(os.getpid(), signal.SIGINT)
+        signal.signal(signal.SIGINT, signal.SIG_IGN)
+        assert not handles_signal(os.getpid(), signal.SIGINT)
+    finally:
+        signal.signal(signal.SIGINT, handler)
     assert not handles_signal(os.getpid(), signal.SIGUSR2)
 
 
