--- a/turmericrudder/gateway/body_reader.py
+++ b/turmericrudder/gateway/body_reader.py
@@ -5,7 +5,7 @@
 from ..cancellation import RequestCancelled
 from ..errors import RequestRejected
 
-__all__ = ["BodyReader"]
+__all__ = ["MAX_BUFFERED_BODY_BYTES", "BodyReader"]
 
 # Larger request bodies are streamed to the target. Their requests cannot be retried
 # once a part of the body may have been sent.
--- a/turmericrudder/gateway/client_request.py
+++ b/turmericrudder/gateway/client_request.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..headers import get_hop_by_hop_headers
+from ..headers import get_header, get_hop_by_hop_headers
 from ..platform import protocol
 from ..steering import Route
 from ..units import MS_PER_SECOND
+from .body_reader import MAX_BUFFERED_BODY_BYTES
 from .request_log import RequestLogBuffer
 
 __all__ = ["ClientRequest"]
@@ -71,17 +72,21 @@
     def get_fingerprint(self):
         """Return a digest that is equal if the same caller sends the request again.
 
-        It covers the method, the path and query, the caller and the body, of a streamed
-        one the buffered start and the length.
+        It covers the method, the path and query, the caller and the body, of one that
+        is too long to buffer the start and the length in the request's head. It does
+        not depend on how the body arrived.
         """
         if self._fingerprint is None:
             digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-            length = b"" if self.body_length is None else b"%d" % self.body_length
+            body = self.body_start if self.body is None else self.body
+            length = b"%d" % len(body)
+            if len(body) > MAX_BUFFERED_BODY_BYTES:
+                length = get_header(self.headers, b"content-length") or b""
             parts = [self.method.encode(), self.request_target, length]
             for name, value in sorted(self.headers):
                 if name in _CALLER_HEADERS:
                     parts += (name, value)
-            parts.append(self.body_start if self.body is None else self.body)
+            parts.append(body[:MAX_BUFFERED_BODY_BYTES])
             for part in parts:
                 digest.update(b"%d:" % len(part))
                 digest.update(part)
