--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -283,3 +283,23 @@
             with pytest.raises(ResponseFailed):
                 async for _ in connection.iter_chunks(expires):
                     pass
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_closed_by_target", [True, False])
+async def test_stray_response_on_an_idle_connection_is_no_end_by_the_target(
+    is_closed_by_target,
+):
+    ends = []
+    stray = make_response(b"one")
+    async with serve(make_response(b"one"), stray) as connection:
+        assert await send_and_read(connection) == b"one"
+        connection.on_idle_end = lambda: ends.append("ended")
+        if is_closed_by_target:
+            connection.eof_received()
+        else:
+            connection._transport.write(REQUEST)  # the server then sends the stray one
+            while not connection._is_closed:
+                await anyio.sleep(0.001)
+        assert len(ends) == is_closed_by_target
+        assert not connection.is_reusable()
--- a/turmericrudder/gateway/upstream_connection.py
+++ b/turmericrudder/gateway/upstream_connection.py
@@ -189,6 +189,7 @@
         if not self._has_request or self._parser.is_complete:
             # Bytes without a request in flight, or after the end of the response.
             self._parser.must_close = True
+            self.on_idle_end = None  # it is not the target that ends the connection
             self._abort()
             return
         self._parser.feed(data)
