--- a/standins/target.py
+++ b/standins/target.py
@@ -22,6 +22,9 @@
     :param unsigned: responses have no signature header.
     :param limit: requests per second that the responses name as the most that the
         target takes from all instances together, ``None`` for no limit.
+    :param leaving: responses say that the target leaves.
+    :param pause: what responses of ``shed`` name as the time until the next request,
+        or ``None``.
     :param load: load report in the responses in place of the true one, or ``None``.
     """
 
@@ -31,6 +34,8 @@
     unsigned: bool = False
     limit: float | None = None
     load: str | None = None
+    leaving: bool = False
+    pause: str | None = None
 
 
 class TargetApplication:
@@ -70,6 +75,9 @@
                 (protocol.NOT_EXECUTED_HEADER, b"1"),
                 *self._make_headers(attempt_id),
             ]
+            if self.fault.pause is not None:
+                pause = self.fault.pause.encode()
+                response_headers.append((protocol.RETRY_AFTER_HEADER, pause))
             await send_response(send, 503, b"", response_headers)
             return
         self.runs.append(attempt_id.decode())
@@ -112,4 +120,6 @@
         ]
         if self.fault.limit is not None:
             headers.append((protocol.SERVER_LIMIT_HEADER, b"%g" % self.fault.limit))
+        if self.fault.leaving:
+            headers.append((protocol.SERVER_LEAVING_HEADER, b"1"))
         return headers
--- a/turmericrudder/events/catalogue.py
+++ b/turmericrudder/events/catalogue.py
@@ -288,6 +288,16 @@
     "target that may have started again or become cold said how long it stays cold",
 )
 
+TARGET_LEAVING = Event(
+    617, "target_leaving", INFO, "target says that it leaves; it gets no new requests"
+)
+TARGET_PAUSED = Event(
+    618, "target_paused", INFO, "target wants no requests for the logged seconds"
+)
+TARGET_PAUSE_REFUSED = Event(
+    619, "target_pause_refused", WARNING, "target asks for a pause that is no time"
+)
+
 LOOKUP_ANSWERED = Event(
     701, "lookup_answered", DEBUG, "look-up returned a list of entry instances"
 )
--- a/turmericrudder/gateway/forwarder.py
+++ b/turmericrudder/gateway/forwarder.py
@@ -178,7 +178,7 @@
         :param outcome: ``None`` if the attempt was cancelled.
         """
         if isinstance(outcome, CompleteResponse | StreamingResponse):
-            target.has_responded = True
+            target.record_valid_response(anyio.current_time())
         self._trial_ended.set()
         self._trial_ended = anyio.Event()
 
--- a/turmericrudder/gateway/health_monitor.py
+++ b/turmericrudder/gateway/health_monitor.py
@@ -1,10 +1,18 @@
 """Health checks of targets that may have started again or become cold."""
 
+import time
+
 import anyio
 
 from ..errors import ConnectFailed, ResponseFailed
 from ..events import catalogue
-from ..platform import decode_cold_time, encode_health_check
+from ..platform import (
+    decode_cold_time,
+    decode_leaving,
+    decode_pause,
+    encode_health_check,
+    protocol,
+)
 from .upstream_connection import open_connection
 
 __all__ = ["HealthMonitor"]
@@ -96,6 +104,8 @@
         if profile is None:
             return
         async with self._limiter:
+            if target.notices.is_paused(anyio.current_time()):
+                return
             self.check_count += 1
             asked_at = anyio.current_time()
             try:
@@ -103,6 +113,7 @@
             except (ConnectFailed, ResponseFailed, TimeoutError):
                 return  # an attempt that fails ejects the target
         now = anyio.current_time()
+        self._record_notices(target, status, headers, now)
         cold_left = decode_cold_time(status, headers, target.endpoint.id)
         was_doubted = target.cold.doubted_at is not None
         target.cold.record_contact(profile.cold_start, asked_at, now)
@@ -115,6 +126,15 @@
                 catalogue.TARGET_CHECKED, target=target.endpoint.id, cold_s=cold_left
             )
 
+    def _record_notices(self, target, status, headers, now):
+        if headers.get(protocol.INSTANCE_ID_HEADER) != target.endpoint.id.encode():
+            return
+        if decode_leaving(status, headers.items()):
+            target.notices.record_leaving(now)
+        pause = decode_pause(status, headers.items(), time.time())
+        if pause:
+            target.record_pause(pause, now)
+
     async def _call(self, target, path):
         """Return status and headers of a target's response."""
         address = target.endpoint.address
--- a/turmericrudder/gateway/instance.py
+++ b/turmericrudder/gateway/instance.py
@@ -191,6 +191,10 @@
             "watch_seconds": self.store_sync.get_watch_duration(),
             "configuration_version": self.cached_state.version or 0,
             "limited_targets": self.cached_state.catalog.count_limited(),
+            "leaving_targets": self.cached_state.catalog.count_leaving(),
+            "paused_targets": self.cached_state.catalog.count_paused(
+                anyio.current_time()
+            ),
             "blocked_requests": len(self.cached_state.crash_ledger.get_blocked()),
             "crash_reports": len(self.cached_state.crash_ledger),
             "ended_targets": self.crash_monitor.ended_count,
--- a/turmericrudder/gateway/response_observer.py
+++ b/turmericrudder/gateway/response_observer.py
@@ -1,9 +1,11 @@
 """What the responses of targets tell about the targets."""
 
+import time
+
 import anyio
 
 from ..events import catalogue
-from ..platform import protocol
+from ..platform import decode_leaving, decode_pause, protocol
 from ..steering import ServerLoad, parse_rate_limit
 
 __all__ = ["ResponseObserver"]
@@ -34,6 +36,7 @@
         profile = self._catalog.get_profile(target.endpoint.service)
         if profile is not None:
             target.cold.record_contact(profile.cold_start, connection.opened_at, now)
+        self._record_notices(target, connection.status, connection.headers, now)
         self._record_load_report(target, headers, now)
         self._record_rate_limit(target, headers, now)
 
@@ -61,6 +64,16 @@
             selection.service_time_key, service_time
         )
 
+    def _record_notices(self, target, status, header_pairs, now):
+        endpoint_id = target.endpoint.id
+        if decode_leaving(status, header_pairs) and target.notices.record_leaving(now):
+            self._log.write(catalogue.TARGET_LEAVING, target=endpoint_id)
+        pause = decode_pause(status, header_pairs, time.time())
+        if pause is None:
+            self._log.write(catalogue.TARGET_PAUSE_REFUSED, target=endpoint_id)
+        elif pause and target.record_pause(pause, now):
+            self._log.write(catalogue.TARGET_PAUSED, target=endpoint_id, pause_s=pause)
+
     def _record_load_report(self, target, headers, now):
         text = headers.get(protocol.SERVER_LOAD_HEADER)
         if text is None:
--- a/turmericrudder/gateway/upstream_connection_pool.py
+++ b/turmericrudder/gateway/upstream_connection_pool.py
@@ -67,7 +67,8 @@
         :param max_idle: maximum number of idle connections to the target.
         """
         idle = self._idle.setdefault(target.endpoint.id, deque())
-        if not connection.is_reusable() or target.is_removed or len(idle) >= max_idle:
+        is_unusable = target.is_removed or target.notices.is_leaving
+        if is_unusable or not connection.is_reusable() or len(idle) >= max_idle:
             connection.close()
             return
         now = anyio.current_time()
--- a/turmericrudder/platform/__init__.py
+++ b/turmericrudder/platform/__init__.py
@@ -12,6 +12,7 @@
 from .routing_configuration import decode_routing_configuration
 from .store_client import MetadataStoreClient
 from .store_entries import Deletion, Page, StoreEntry, WatchResponse
+from .target_notices import decode_leaving, decode_pause
 from .targets import decode_endpoint, get_target_id
 
 __all__ = [
@@ -24,7 +25,9 @@
     "decode_crash_report",
     "decode_directory_request",
     "decode_endpoint",
+    "decode_leaving",
     "decode_member",
+    "decode_pause",
     "decode_routing_configuration",
     "encode_crash_report",
     "encode_directory_response",
--- a/turmericrudder/platform/protocol.py
+++ b/turmericrudder/platform/protocol.py
@@ -16,6 +16,8 @@
     "READINESS_PATH",
     "RESOLVE_PATH",
     "RESPONSE_SIGNATURE_HEADER",
+    "RETRY_AFTER_HEADER",
+    "SERVER_LEAVING_HEADER",
     "SERVER_LIMIT_HEADER",
     "SERVER_LOAD_HEADER",
     "STORE_ERA_HEADER",
@@ -44,6 +46,10 @@
 SERVER_LOAD_HEADER = b"x-server-load"
 # Requests per second that a target in need takes from all instances together.
 SERVER_LIMIT_HEADER = b"server-limit"
+# Set to 1 by a target that leaves.
+SERVER_LEAVING_HEADER = b"server-leaving"
+# Seconds, or the date, until which a target that rejects requests wants none.
+RETRY_AFTER_HEADER = b"retry-after"
 # Set by a target that did not run the request.
 NOT_EXECUTED_HEADER = b"x-not-executed"
 # Id of the target that responds.
--- a/turmericrudder/steering/balancer.py
+++ b/turmericrudder/steering/balancer.py
@@ -190,10 +190,14 @@
     def admit(self, target, now):
         """Count a request whose first byte is about to be sent to a target.
 
-        :returns: ``False`` if it must not be sent, because the target was removed or
-            the bound of a cold target was reached since the selection.
+        :returns: ``False`` if it must not be sent, because the target was removed, has
+            said that it leaves or wants a pause, or the bound of a cold target was
+            reached since the selection.
         """
-        if target.is_removed or not self._candidates.is_within_cold_bound(target, now):
+        notices = target.notices
+        if target.is_removed or notices.is_leaving or notices.is_paused(now):
+            return False
+        if not self._candidates.is_within_cold_bound(target, now):
             return False
         target.cold.record_request(now)
         return True
--- a/turmericrudder/steering/candidate_finder.py
+++ b/turmericrudder/steering/candidate_finder.py
@@ -9,6 +9,8 @@
 UNTRIED_RETRY_AFTER = 0.25
 # Seconds; a target may also end its limit before this instance may send to it again.
 MAX_LIMITED_RETRY_AFTER = 2.0
+# Largest fraction of the rest of a pause that is added for a client.
+MAX_PAUSE_SPREAD = 0.5
 
 
 class CandidateFinder:
@@ -112,6 +114,12 @@
 
     def _make_no_target(self, targets, now):
         """Return :class:`NoTarget` for targets none of which can take a request now."""
+        if all(target.notices.is_paused(now) for target in targets):
+            wait = min(target.notices.paused_until for target in targets) - now
+            # Clients that return together would end the next pause at once.
+            wait *= 1.0 + MAX_PAUSE_SPREAD * self._random.random()
+            return NoTarget(NoTargetReason.ALL_PAUSED, wait)
+        targets = [t for t in targets if not t.notices.is_paused(now)]
         wait = min(
             target.rate_limiter.get_wait(target.endpoint, self._members, now)
             or COLD_RETRY_AFTER
@@ -146,7 +154,9 @@
         return self._catalog.is_usable(target)
 
     def _can_take_request(self, target, now):
-        """Return whether the limits on a target's request rate allow one more now."""
+        """Return whether a target's pauses and limits allow one more request now."""
+        if target.notices.is_paused(now):
+            return False
         if target.rate_limiter.get_wait(target.endpoint, self._members, now) > 0.0:
             return False
         return self.is_within_cold_bound(target, now)
--- a/turmericrudder/steering/endpoint_catalog.py
+++ b/turmericrudder/steering/endpoint_catalog.py
@@ -81,15 +81,25 @@
             target.rate_limiter.limit is not None for target in self._targets.values()
         )
 
+    def count_leaving(self):
+        """Return the number of registered targets that said that they leave."""
+        return sum(target.notices.is_leaving for target in self._targets.values())
+
+    def count_paused(self, now):
+        """Return the number of registered targets that want no requests now."""
+        return sum(target.notices.is_paused(now) for target in self._targets.values())
+
     def is_usable(self, target):
         """Return whether a target may get new requests.
 
-        It may not while it is draining, removed or in an evacuated failure domain.
+        It may not while it is draining, leaving, removed or in an evacuated failure
+        domain.
         """
         endpoint = target.endpoint
         return not (
             endpoint.is_draining
             or target.is_removed
+            or target.notices.is_leaving
             or endpoint.failure_domain in self._evacuated_domains
         )
 
--- a/turmericrudder/steering/selection.py
+++ b/turmericrudder/steering/selection.py
@@ -19,6 +19,7 @@
       more requests now.
     - ``ALL_LIMITED``: some of the remaining targets have named a limit on their request
       rate, and this instance's part of it is used up; others are cold.
+    - ``ALL_PAUSED``: the remaining targets want no requests for some seconds.
     - ``ALL_UNTRIED``: the remaining targets have not responded to any request yet, and
       have enough in flight.
     - ``TOO_LATE``: the response is expected after the request's deadline.
@@ -28,6 +29,7 @@
     NONE_ALLOWED = "none_allowed"
     ALL_COLD = "all_cold"
     ALL_LIMITED = "all_limited"
+    ALL_PAUSED = "all_paused"
     ALL_UNTRIED = "all_untried"
     TOO_LATE = "too_late"
 
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -3,6 +3,7 @@
 from ..units import MS_PER_SECOND
 from .cold_tracker import ColdTracker
 from .recent_keys import RecentKeys
+from .target_notices import TargetNotices
 from .target_rate_limiter import TargetRateLimiter
 
 __all__ = ["TrackedTarget"]
@@ -32,6 +33,7 @@
     :ivar has_responded: whether it has given a valid response, of any status.
     :ivar is_removed: whether the registration was removed or replaced, or a response
         with status 421 showed that another target has the address.
+    :ivar notices: the :class:`TargetNotices` of its responses.
     :ivar rate_limiter: the :class:`TargetRateLimiter`, for the limit that the target
         named in its last response.
     :ivar round_trip: seconds that the last connection took to open, ``None`` before
@@ -58,6 +60,7 @@
         "has_responded",
         "is_removed",
         "mean_service_time",
+        "notices",
         "rate_limiter",
         "recent_keys",
         "revision",
@@ -72,6 +75,7 @@
         self.ejected_until = 0.0
         self.has_responded = False
         self.is_removed = False
+        self.notices = TargetNotices()
         self.rate_limiter = TargetRateLimiter()
         self.round_trip = None
         self.trial_limit = endpoint.slots
@@ -104,6 +108,26 @@
         limit = self.trial_limit * (MAX_WAITED_FACTOR if may_exceed else 1)
         return len(self._start_times) < limit
 
+    def record_pause(self, seconds, now):
+        """Record that the target wants no requests for some seconds.
+
+        After them it counts as one that has not responded yet, so that it gets one
+        request before those that waited.
+
+        :returns: whether no pause was in force.
+        """
+        is_new = self.notices.record_pause(seconds, now)
+        if self.notices.is_paused(now):
+            self.has_responded = False
+            self._has_failed_trial = True
+            self.trial_limit = 1
+        return is_new
+
+    def record_valid_response(self, now):
+        """Record a response of any status; what was sent before a pause says little."""
+        if not self.notices.is_paused(now):
+            self.has_responded = True
+
     def record_failed_trial(self, now):
         """Count a request that failed at a target that has never responded."""
         self._has_failed_trial = True
@@ -204,7 +228,7 @@
         :param service_time: seconds, divided by the target's slowdown.
         """
         self._last_response_at = now
-        self.has_responded = True
+        self.record_valid_response(now)
         if self.mean_service_time is None:
             self.mean_service_time = service_time
         self.mean_service_time += SERVICE_TIME_WEIGHT * (
@@ -216,7 +240,7 @@
     def record_not_executed(self, now):
         """Count a request that was not executed, according to the target's response."""
         self._last_response_at = now
-        self.has_responded = True
+        self.record_valid_response(now)
         self._ejection_count = 0
         self._update_failure_rate(1.0, now)
 
