--- a/tests/test_reset_responses.py
+++ b/tests/test_reset_responses.py
@@ -37,19 +37,21 @@
     return "asyncio", {"use_uvloop": request.param}
 
 
-def respond(listener, data, is_done):
-    """Send data and reset the connection."""
+def respond(listener, data, is_closed_first, is_done):
+    """Send data and reset the connection, which is closed for sending first or not."""
     connection, _ = listener.accept()
     with connection:
         connection.recv(len(REQUEST))
         time.sleep(RESPOND_AT)
         connection.sendall(data)
+        if is_closed_first:
+            connection.shutdown(socket.SHUT_WR)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     is_done.set()
 
 
 @contextlib.asynccontextmanager
-async def serve(data, must_block):
+async def serve(data, is_closed_first=False, must_block=False):
     """Serve one request on a connection and yield its client end.
 
     :param must_block: whether the event loop is blocked until the connection has been
@@ -57,7 +59,7 @@
     """
     is_done = threading.Event()
     with socket.create_server((HOST, 0)) as listener:
-        arguments = (listener, data, is_done)
+        arguments = (listener, data, is_closed_first, is_done)
         thread = threading.Thread(target=respond, args=arguments)
         thread.start()
         port = listener.getsockname()[1]
@@ -90,6 +92,14 @@
 @pytest.mark.parametrize("framing", FRAMINGS)
 async def test_reset_body_is_never_complete(framing, size, must_block, is_upload):
     data = HEAD + FRAMINGS[framing] + b"z" * size
-    async with serve(data, must_block) as connection:
+    async with serve(data, must_block=must_block) as connection:
         with pytest.raises(ResponseFailed):
             await receive(connection, make_upload() if is_upload else b"")
+
+
+@pytest.mark.anyio
+async def test_body_that_is_closed_and_then_reset_is_not_complete():
+    data = HEAD + FRAMINGS["close"] + b"z" * 1000
+    async with serve(data, is_closed_first=True, must_block=True) as connection:
+        with pytest.raises(ResponseFailed):
+            await receive(connection, b"")
