--- a/turmericrudder/gateway/upstream_connection.py
+++ b/turmericrudder/gateway/upstream_connection.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import socket
 import struct
 
@@ -198,7 +199,10 @@
 
     def eof_received(self):
         self._record_loss()
-        self._handle_end(None)
+        # A reset that followed the close may have discarded a part of the response.
+        sock = self._transport.get_extra_info("socket")
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self._handle_end(f"reset after close: {os.strerror(error)}" if error else None)
 
     def connection_lost(self, exc):
         self._is_closed = True
