--- a/turmericrudder/gateway/response_parser.py
+++ b/turmericrudder/gateway/response_parser.py
@@ -1,11 +1,15 @@
 """A parser of targets' responses that checks which request they belong to.
 
-A target may truncate a response, send excess bytes after it, or send a late response
-to an earlier request. The parser is httptools; nothing here does I/O.
+A target may truncate a response, send excess bytes after it, send a late response to
+an earlier request, or another response within a body that it did not complete. The
+parser is httptools; nothing here does I/O.
 """
 
+from collections import deque
+
 import httptools
 
+from ..head_scanner import HeadScanner
 from ..headers import get_header
 from ..platform import protocol
 from ..ranges import MAX_SECONDS, parse_integer
@@ -21,6 +25,10 @@
 # FRAMING_BYTES_PER_BODY_BYTE is added for chunks of a few bytes each.
 MAX_FRAMING_BYTES = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Requests on the connection whose late response is recognised within a body.
+MAX_KNOWN_IDS = 32
+MAX_KNOWN_ID_BYTES = 256
+_EMPTY_LINE = b"\r\n\r\n"
 _BODYLESS_STATUSES = (204, 304)
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
@@ -48,6 +56,9 @@
         self.keepalive_timeout = None
         self._parser = httptools.HttpResponseParser(self)
         self._chunks = []
+        self._scanner = HeadScanner(protocol.ATTEMPT_ID_HEADER)
+        self._known_ids = deque(maxlen=MAX_KNOWN_IDS)
+        self._id_name = b""
         self._expected_attempt_id = None
         self._is_head_request = False
         self._is_first_request = True
@@ -71,6 +82,9 @@
         self.error = None
         self.buffered_bytes = 0
         self._chunks = []
+        if attempt_id is not None and len(attempt_id) <= MAX_KNOWN_ID_BYTES:
+            self._known_ids.append(attempt_id)
+        self._id_name = b""
         self._expected_attempt_id = attempt_id
         self._is_head_request = is_head_request
         self._is_first_request = is_first
@@ -83,6 +97,7 @@
         if self.error is not None:
             return
         self._received_bytes += len(data)
+        had_head, chunk_count = self.has_head, len(self._chunks)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -90,6 +105,14 @@
         except httptools.HttpParserError as exc:
             self._fail(f"malformed: {exc}")
         self._check_framing_bytes()
+        if len(self._chunks) > chunk_count:
+            body = self._chunks[-1]
+            if len(self._chunks) > chunk_count + 1:
+                # Chunks of a few bytes each are not scanned one by one.
+                body = b"".join(self._chunks[chunk_count:])
+                self._chunks[chunk_count:] = [body]
+            if self._has_other_response(body, data, had_head):
+                self._fail_body()
 
     def feed_eof(self, reason):
         """Handle the end of the connection.
@@ -97,8 +120,15 @@
         :param reason: why the connection was lost, or ``None`` if the target closed it
             normally.
         """
-        is_normal_end = self.has_head and self._is_close_delimited and reason is None
-        if is_normal_end and not self.is_complete:
+        is_normal_end = (
+            self.has_head
+            and self._is_close_delimited
+            and reason is None
+            and self.error is None
+        )
+        if is_normal_end and self._scanner.feed_last(b""):
+            self._fail_body()
+        elif is_normal_end and not self.is_complete:
             self.is_complete = self.must_close = True
         else:
             self._fail(reason or "closed")
@@ -125,7 +155,10 @@
         if self._header_count > MAX_HEADERS:
             self._fail(f"more than {MAX_HEADERS} header lines")
         elif not self.has_head:
-            self.headers.append((name.lower(), value))
+            lower_name = name.lower()
+            if lower_name == protocol.ATTEMPT_ID_HEADER:
+                self._id_name = name
+            self.headers.append((lower_name, value))
 
     def on_headers_complete(self):
         if self.is_complete or self.error is not None:
@@ -171,6 +204,7 @@
 
     def _accept_head(self):
         self.has_head = True
+        self._scanner.start(self._known_ids, self._id_name)
         self.keepalive_timeout = _get_keepalive_timeout(
             self.headers, self.keepalive_timeout
         )
@@ -181,12 +215,45 @@
                 name in _FRAMING_HEADERS for name, _ in self.headers
             )
 
+    def _has_other_response(self, body, data, had_head):
+        """Return whether another response began in the body.
+
+        :param body: the body's bytes in ``data``, which were received last.
+        :param had_head: whether ``data`` begins within the body.
+        """
+        scanner = self._scanner
+        if scanner.feed(body):
+            return True
+        if not (self.is_complete and scanner.is_pending):
+            return False
+        if get_header(self.headers, b"content-length") is None:
+            return False
+        # The other head may go on after the length of the first body.
+        start = 0 if had_head else self._find_body(data, body)
+        return scanner.feed_last(data[start + len(body) :])
+
+    def _find_body(self, data, body):
+        """Return where a body begins in bytes with the end of its head."""
+        # The head after an interim response may begin like the body.
+        find = data.rfind if self._interim_count else data.find
+        empty_line = find(_EMPTY_LINE + body)
+        if empty_line < 0:
+            return data.find(body)  # after the rest of the empty line
+        return empty_line + len(_EMPTY_LINE)
+
     def _check_framing_bytes(self):
         framing_bytes = self._received_bytes - self._body_bytes - self._skipped_bytes
         bound = MAX_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
         if framing_bytes > bound:
             self._fail(f"more than {bound} bytes besides the body")
 
+    def _fail_body(self):
+        """Fail the response; what is left of the body must not complete it."""
+        self.is_complete = False
+        self.must_close = True
+        self.error = "another response within the body"
+        self.take_body()
+
     def _fail(self, reason):
         """Mark the connection as unusable and, unless it is complete, the response."""
         self.must_close = True
