--- a/tests/test_crossed_responses.py
+++ b/tests/test_crossed_responses.py
@@ -135,6 +135,27 @@
         await pool.aclose()
 
 
+@pytest.mark.anyio
+async def test_second_response_within_a_body_is_a_failure():
+    """The first response breaks off, and the bytes of the second complete its body."""
+
+    async def respond(stream, number, request):
+        head, _, _ = request.partition(b"\r\n\r\n")
+        _, _, attempt_id = head.partition(ATTEMPT_HEADER + b": ")
+        response = make_response(number, attempt_id.partition(b"\r\n")[0])
+        sent = response[:-5].replace(b"Length: 10", b"Length: 100")
+        await stream.send(sent)
+        await anyio.sleep(0.05)
+        await stream.send(2 * response)
+
+    pool = TargetConnectionPool()
+    async with serve_target(respond) as target:
+        attempt = await run_attempt(target, pool)
+        assert attempt.response is None
+        assert attempt.failure.reason == "cut"
+        await pool.aclose()
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("delay", [0.0, 0.05], ids=["same packet", "idle connection"])
 async def test_second_copy_reaches_no_other_call_of_a_client(delay):
