--- a/turmericrudder/forwarding/response.py
+++ b/turmericrudder/forwarding/response.py
@@ -5,6 +5,7 @@
 import anyio
 
 from ..errors import UpstreamCut
+from ..head_scanner import HeadScanner
 from ..http_client import TRANSPORT_ERRORS
 
 __all__ = ["NoResponse", "NotSent", "Response"]
@@ -32,7 +33,14 @@
     :ivar headers: (name, value) pairs as bytes.
     """
 
-    __slots__ = ("_chunks", "_prefetched", "_response", "headers", "status")
+    __slots__ = (
+        "_chunks",
+        "_prefetched",
+        "_response",
+        "_scanner",
+        "headers",
+        "status",
+    )
     __match_args__ = ("status",)
 
     def __init__(self, response):
@@ -41,6 +49,17 @@
         self._response = response
         self._chunks = None
         self._prefetched = []
+        self._scanner = None
+
+    def expect_no_other(self, id_header):
+        """Fail if another response with the same id begins within the body.
+
+        :param id_header: name of the header with the id, in lower case.
+        """
+        for name, value in self.headers:
+            if name.lower() == id_header:
+                self._scanner = HeadScanner(id_header)
+                self._scanner.start((value,), name)
 
     async def prefetch(self, limit):
         """Buffer the body until it is complete or exceeds ``limit`` bytes.
@@ -77,6 +96,8 @@
                 chunk = await anext(self._chunks, None)
                 if chunk is None:
                     return
+                if self._scanner is not None and self._scanner.feed(chunk):
+                    raise UpstreamCut("another response within the body")
                 yield chunk
         except TRANSPORT_ERRORS as exc:
             raise UpstreamCut(f"{type(exc).__name__}: {exc}") from exc
--- a/turmericrudder/forwarding/target_attempt.py
+++ b/turmericrudder/forwarding/target_attempt.py
@@ -136,6 +136,7 @@
                     self.failure = NotRun("shed", is_shed=True)
                     self._slot_result = Shed(status == service.drain_status)
                 else:
+                    send_result.expect_no_other(ATTEMPT_HEADER)
                     await self._prefetch_body(send_result, prefetch_bytes)
 
     def _is_crossed(self, headers):
