--- a/tests/test_second_answer.py
+++ b/tests/test_second_answer.py
@@ -160,3 +160,27 @@
         tasks.cancel_scope.cancel()
     await listener.aclose()
     assert received < size
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"X-Response-Signature: 3e1b.07\r\nX-Attempt-Id: %s\r\n" % OWN_ID,
+        b"X-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n" % OWN_ID,
+    ],
+    ids=["id-last", "id-first"],
+)
+def test_second_response_within_a_head_is_never_a_part_of_it(lines):
+    head = b"HTTP/1.1 503 Busy\r\n" + lines
+    second = b"".join(make_response(b"second", LENGTH))
+    for end in range(1, len(head)):
+        # Between words, a value may quote a status line.
+        if head[end - 1 : end].isalnum() or OWN_ID in head[:end]:
+            assert parse(head[:end] + second, ()) is None
+            assert parse(head[:end] + second, range(end + len(second))) is None
+
+
+def test_head_that_quotes_a_status_line_is_valid():
+    head, body = make_response(b"body", LENGTH)
+    head = head.replace(b"Server: t", b"X-Probe: 1 HTTP/1.1 200 OK")
+    assert parse(head + body, ()) == b"body"
