--- a/turmericrudder/gateway/response_parser.py
+++ b/turmericrudder/gateway/response_parser.py
@@ -5,6 +5,7 @@
 parser is httptools; nothing here does I/O.
 """
 
+import re
 from collections import deque
 
 import httptools
@@ -28,6 +29,9 @@
 # Requests on the connection whose late response is recognised within a body.
 MAX_KNOWN_IDS = 32
 MAX_KNOWN_ID_BYTES = 256
+MAX_REASON_BYTES = 1024  # of a reason phrase that are looked at
+# Where a head broke off in a word and another one goes on in the same line.
+_JOINED_LINE = re.compile(rb"[0-9A-Za-z]HTTP/1\.[01] [1-5][0-9]{2}(?: |$)", re.M)
 _EMPTY_LINE = b"\r\n\r\n"
 _BODYLESS_STATUSES = (204, 304)
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
@@ -55,10 +59,11 @@
         self.buffered_bytes = 0
         self.keepalive_timeout = None
         self._parser = httptools.HttpResponseParser(self)
+        self._reason = b""
         self._chunks = []
         self._scanner = HeadScanner(protocol.ATTEMPT_ID_HEADER)
         self._known_ids = deque(maxlen=MAX_KNOWN_IDS)
-        self._id_name = b""
+        self._id_name = self._reason = b""
         self._expected_attempt_id = None
         self._is_head_request = False
         self._is_first_request = True
@@ -84,7 +89,7 @@
         self._chunks = []
         if attempt_id is not None and len(attempt_id) <= MAX_KNOWN_ID_BYTES:
             self._known_ids.append(attempt_id)
-        self._id_name = b""
+        self._id_name = self._reason = b""
         self._expected_attempt_id = attempt_id
         self._is_head_request = is_head_request
         self._is_first_request = is_first
@@ -147,6 +152,10 @@
             self.must_close = True
         else:
             self.headers = []
+            self._id_name = self._reason = b""
+
+    def on_status(self, part):
+        self._reason = (self._reason + part)[:MAX_REASON_BYTES]
 
     def on_header(self, name, value):
         if self.is_complete or self.error is not None:
@@ -157,12 +166,17 @@
         elif not self.has_head:
             lower_name = name.lower()
             if lower_name == protocol.ATTEMPT_ID_HEADER:
+                if self._id_name:
+                    self._fail("more than one attempt id")
                 self._id_name = name
             self.headers.append((lower_name, value))
 
     def on_headers_complete(self):
         if self.is_complete or self.error is not None:
             return
+        if self._has_joined_line():
+            self._fail("another response within the head")
+            return
         self.status = self._parser.get_status_code()
         if self.status < 200:
             self._is_skipping_message = True
@@ -215,6 +229,12 @@
                 name in _FRAMING_HEADERS for name, _ in self.headers
             )
 
+    def _has_joined_line(self):
+        text = b"\n".join([self._reason, *[value for _, value in self.headers]])
+        return text.find(b"HTTP/1.") >= 0 and (
+            b"HTTP/1." in self._reason or _JOINED_LINE.search(text) is not None
+        )
+
     def _has_other_response(self, body, data, had_head):
         """Return whether another response began in the body.
 
