--- a/turmericrudder/forwarding/headers.py
+++ b/turmericrudder/forwarding/headers.py
@@ -1,6 +1,6 @@
 """Names of the headers that instances use, and removal of hop-by-hop headers."""
 
-from ..headers import get_hop_by_hop_headers
+from ..headers import get_header, get_hop_by_hop_headers
 
 __all__ = [
     "ATTEMPT_HEADER",
@@ -36,14 +36,20 @@
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 
 _HOST = b"host"
+_CONTENT_LENGTH = b"content-length"
+_TRANSFER_ENCODING = b"transfer-encoding"
 
 
 def strip_headers(headers):
     """Return headers without hop-by-hop headers, host, and ``turmericrudder-`` ones.
 
+    A length beside a transfer coding is not that of the body and is dropped, too.
+
     :param headers: (name, value) pairs of a request or a response.
     """
     dropped = get_hop_by_hop_headers(headers) | {_HOST}
+    if get_header(headers, _TRANSFER_ENCODING) is not None:
+        dropped |= {_CONTENT_LENGTH}
     return [
         (name, value)
         for name, value in headers
