--- a/tests/test_daemon_body_ends.py
+++ b/tests/test_daemon_body_ends.py
@@ -281,6 +281,15 @@
                 tasks.start_soon(upload, method, size)
 
 
+@pytest.mark.anyio
+async def test_upload_with_another_transfer_coding_does_not_run(entries, upstream):
+    address = entries.owner.settings.listen_callers
+    upload = b"Transfer-Encoding: gzip, chunked\r\n\r\n" + encode_chunks(b"coded")
+    outcome = await call(address, "PUT", "/PUT/length/whole/2", upload=upload)
+    assert outcome[:2] == (501, b"not_run")
+    assert "/PUT/length/whole/2" not in upstream.bodies
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("name", ["owner", "other"])
 @pytest.mark.parametrize("end", ENDS)
--- a/turmericrudder/daemon/caller_application.py
+++ b/turmericrudder/daemon/caller_application.py
@@ -35,6 +35,8 @@
 
 RETRY_AFTER = 1  # seconds
 MAX_PATH_BYTES = 8192  # without the query
+TRANSFER_ENCODING_HEADER = b"transfer-encoding"
+CHUNKED = b"chunked"
 
 
 class CallerApplication:
@@ -228,7 +230,8 @@
     :param home_region: region to which the caller's address belongs.
     :param queue_timeout: seconds the request may queue for a slot; the service's
         own limit applies if it is shorter.
-    :raises RequestRejected: if no request class matches or a header is malformed.
+    :raises RequestRejected: if no request class matches or a header is malformed or
+        not supported.
     """
     headers = scope["headers"]
     bare_path = path.partition(b"?")[0].decode("latin-1")
@@ -242,9 +245,12 @@
         method=scope["method"],
         path=path,
         headers=[
-            pair
-            for pair in strip_headers(headers)
-            if pair[0].lower() != IDEMPOTENCY_KEY_HEADER
+            *(
+                pair
+                for pair in strip_headers(headers)
+                if pair[0].lower() != IDEMPOTENCY_KEY_HEADER
+            ),
+            *_get_framing(headers),
         ],
         body=RequestBody(receive),
         service=service,
@@ -281,6 +287,19 @@
     return dict(part.split("=", 1) for part in text.split("&") if "=" in part)
 
 
+def _get_framing(headers):
+    """Return the header that delimits a body in chunks; a length is passed on as is.
+
+    :raises RequestRejected: if the body has another transfer coding, too.
+    """
+    coding = get_header(headers, TRANSFER_ENCODING_HEADER)
+    if coding is None:
+        return ()
+    if coding.lower() != CHUNKED:
+        raise RequestRejected(501, "transfer_encoding")
+    return ((TRANSFER_ENCODING_HEADER, CHUNKED),)
+
+
 def _get_timeout(headers, request_class):
     """Return the seconds until the deadline of a request.
 
