--- a/turmericrudder/forwarding/connection.py
+++ b/turmericrudder/forwarding/connection.py
@@ -4,7 +4,7 @@
 import httpcore
 
 from ..http_client import TRANSPORT_ERRORS, make_timeout_extensions
-from .response import NoResponse, NotSent, Response
+from .response import BODYLESS_STATUSES, NoResponse, NotSent, Response
 
 __all__ = ["Connection"]
 
@@ -12,7 +12,6 @@
 KEEPALIVE_EXPIRY = 20.0  # idle seconds after which a connection is not reused
 
 _CONNECT_FAILURES = (httpcore.ConnectError, httpcore.ConnectTimeout)
-_BODYLESS_STATUSES = (204, 304)
 
 
 class Connection:
@@ -149,7 +148,7 @@
 
 def _has_delimited_body(method, response):
     """Return whether a truncated body can be distinguished from a complete one."""
-    if method == "HEAD" or response.status in _BODYLESS_STATUSES:
+    if method == "HEAD" or response.status in BODYLESS_STATUSES:
         return True
     names = {name.lower() for name, _ in response.headers}
     return b"content-length" in names or b"transfer-encoding" in names
--- a/turmericrudder/forwarding/responder.py
+++ b/turmericrudder/forwarding/responder.py
@@ -6,7 +6,7 @@
 from ..errors import UpstreamCut
 from ..verdict import Verdict
 from .headers import INSTANCE_HEADER, KEY_PREFIX_HEADER, VERDICT_HEADER, strip_headers
-from .response import Response
+from .response import BODYLESS_STATUSES, Response
 
 __all__ = ["Responder"]
 
@@ -50,6 +50,8 @@
             is then truncated as well.
         """
         headers = strip_headers(response.headers)
+        if response.status in BODYLESS_STATUSES:
+            headers = [pair for pair in headers if pair[0].lower() != b"content-length"]
         if recorder is not None:
             recorder.start(response.status, headers)
         await self._start(response.status, headers)
--- a/turmericrudder/forwarding/response.py
+++ b/turmericrudder/forwarding/response.py
@@ -7,7 +7,9 @@
 from ..errors import UpstreamCut
 from ..http_client import TRANSPORT_ERRORS
 
-__all__ = ["NoResponse", "NotSent", "Response"]
+__all__ = ["BODYLESS_STATUSES", "NoResponse", "NotSent", "Response"]
+
+BODYLESS_STATUSES = (204, 304)  # whatever length the head names
 
 
 @dataclass(frozen=True, slots=True)
