--- a/turmericrudder/platform/store_client.py
+++ b/turmericrudder/platform/store_client.py
@@ -155,10 +155,10 @@
                 raise StoreUnavailable(
                     f"store began era {page.era} while entries of era {era} were read"
                 )
-            if not page.has_more or not page.entries:
+            if not page.has_more:
                 return Page(tuple(entries.values()), revision, False, page.era)
-            if page.entries[-1].key <= after:
-                raise StoreUnavailable(f"page after {after!r} ends before that key")
+            if not page.entries or page.entries[-1].key <= after:
+                raise StoreUnavailable(f"page after {after!r} ends without a later key")
             after = page.entries[-1].key
 
     async def watch(self, prefix, after, wait):
