--- a/turmericrudder/forwarding/responder.py
+++ b/turmericrudder/forwarding/responder.py
@@ -1,14 +1,17 @@
 """Writing of responses and rejections to an ASGI ``send`` function."""
 
+import anyio
 import msgspec
 
 from ..errors import UpstreamCut
 from ..verdict import Verdict
 from .headers import INSTANCE_HEADER, KEY_PREFIX_HEADER, VERDICT_HEADER, strip_headers
-from .response import Response
+from .response import BODYLESS_STATUSES, Response
 
 __all__ = ["Responder"]
 
+REJECTION_TIMEOUT = 0.5  # seconds to write a rejection while the process ends
+
 
 class Responder:
     """Writes the response to one request of a caller or of another instance.
@@ -47,6 +50,8 @@
             is then truncated as well.
         """
         headers = strip_headers(response.headers)
+        if response.status in BODYLESS_STATUSES:
+            headers = [pair for pair in headers if pair[0].lower() != b"content-length"]
         if recorder is not None:
             recorder.start(response.status, headers)
         await self._start(response.status, headers)
@@ -86,6 +91,12 @@
             headers.append((KEY_PREFIX_HEADER, prefix.encode()))
         await self.write_json(status, msgspec.json.encode(body), headers)
 
+    async def reject_cancelled(self):
+        """Reject a request whose task was cancelled, unless a response has started."""
+        if not self.has_started:
+            with anyio.move_on_after(REJECTION_TIMEOUT, shield=True):
+                await self.reject(504, "stopped", Verdict.MAY_HAVE_RUN)
+
     async def write_json(self, status, body, headers=()):
         """Write a complete JSON response.
 
--- a/turmericrudder/forwarding/response.py
+++ b/turmericrudder/forwarding/response.py
@@ -8,7 +8,9 @@
 from ..head_scanner import HeadScanner
 from ..http_client import TRANSPORT_ERRORS
 
-__all__ = ["NoResponse", "NotSent", "Response"]
+__all__ = ["BODYLESS_STATUSES", "NoResponse", "NotSent", "Response"]
+
+BODYLESS_STATUSES = (204, 304)  # whatever length the head names
 
 
 @dataclass(frozen=True, slots=True)
