--- a/turmericrudder/gateway/response_parser.py
+++ b/turmericrudder/gateway/response_parser.py
@@ -170,6 +170,15 @@
                 self.must_close = True
 
     def _accept_head(self):
+        codings = [
+            value.strip().lower()
+            for name, value in self.headers
+            if name == b"transfer-encoding"
+        ]
+        if codings not in ([], [b"chunked"]):
+            # The other coding would be lost: the client gets a framing of its own.
+            self._fail("transfer-encoding is not chunked alone")
+            return
         self.has_head = True
         self.keepalive_timeout = _get_keepalive_timeout(
             self.headers, self.keepalive_timeout
