--- a/turmericrudder/gateway/response_parser.py
+++ b/turmericrudder/gateway/response_parser.py
@@ -15,6 +15,7 @@
 # Bounds on what a target may send besides the body of its response. Without them,
 # memory and processor time would be in the hands of a faulty target.
 MAX_HEADERS = 256  # header and trailer lines of one response
+MAX_STATUS = 599  # RFC 9110, 15; no client has a meaning for others
 MAX_INTERIM_RESPONSES = 16  # responses with a 1xx status before the final one
 MAX_SKIPPED_BYTES = 256 * 1024  # body bytes of late responses to earlier requests
 # Bytes of heads, trailers and chunk headers of one response, to which
@@ -170,6 +171,9 @@
                 self.must_close = True
 
     def _accept_head(self):
+        if self.status > MAX_STATUS:
+            self._fail(f"status {self.status}")
+            return
         codings = [
             value.strip().lower()
             for name, value in self.headers
