--- a/turmericrudder/gateway/response_writer.py
+++ b/turmericrudder/gateway/response_writer.py
@@ -51,7 +51,10 @@
     async def write_complete(self, response):
         """Send a target's complete response."""
         headers = self._filter_headers(response.headers)
-        if response.status not in _BODYLESS_STATUSES:
+        if self.request.method == "HEAD":
+            # It is the length that the body of a GET would have.
+            headers += _get_content_length(response.headers)
+        elif response.status not in _BODYLESS_STATUSES:
             headers.append((b"content-length", b"%d" % len(response.body)))
         await self._start(response.status, headers)
         await self._write(response.body, False)
@@ -65,7 +68,7 @@
             when the request expires.
         """
         headers = self._filter_headers(response.headers)
-        headers += [pair for pair in response.headers if pair[0] == b"content-length"]
+        headers += _get_content_length(response.headers)
         size = 0
         try:
             await self._start(response.status, headers)
@@ -168,3 +171,7 @@
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": has_more}
         )
+
+
+def _get_content_length(headers):
+    return [pair for pair in headers if pair[0] == b"content-length"]
