--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -20,7 +20,12 @@
 
 # A client, this instance and a target could each use another one of several values.
 _SINGLE_HEADERS = frozenset(
-    (b"host", protocol.ATTEMPT_ID_HEADER, protocol.DEADLINE_HEADER)
+    (
+        b"host",
+        b"transfer-encoding",
+        protocol.ATTEMPT_ID_HEADER,
+        protocol.DEADLINE_HEADER,
+    )
 )
 _WHITESPACE = (b" ", b"\t")
 
@@ -150,9 +155,11 @@
 def _check_headers(headers):
     """Raise :exc:`RequestRejected` for headers whose meaning is not certain."""
     seen = set()
-    for name, _ in headers:
+    for name, value in headers:
         if name[-1:] in _WHITESPACE:
             raise RequestRejected(400, "whitespace after a header name")
+        if name == b"transfer-encoding" and value.lower() != b"chunked":
+            raise RequestRejected(400, "transfer-encoding is not chunked alone")
         if name in _SINGLE_HEADERS:
             if name in seen:
                 raise RequestRejected(400, f"more than one {name.decode()} header")
