--- a/tests/test_body_ends.py
+++ b/tests/test_body_ends.py
@@ -1,6 +1,7 @@
 """Bodies that end early, in both directions: none may look complete and be another."""
 
 import asyncio
+import contextlib
 import itertools
 from functools import partial
 
@@ -180,6 +181,36 @@
     await check_requests(rig, list(cases) * REPEATS)
 
 
+@pytest.mark.parametrize("rest", [b"no chunk\r\n", b"0"], ids=["malformed", "missing"])
+async def test_connection_is_closed_if_the_rest_of_an_answered_body_is(rig, rest):
+    async with serve(rig, [partial(accept, "early")]) as target:
+        line, wire = encode_body("chunked", make_body(600_000))
+        async with connect(target, 0, line, method="POST", body=wire[:-5]) as (
+            reader,
+            writer,
+        ):
+            await reader.readuntil(b"ok")
+            writer.write(rest)
+            # The idle timeout is 5 s.
+            assert await asyncio.wait_for(reader.read(), 7) == b""
+
+
+async def test_client_that_stops_reading_holds_no_target_past_the_timeout(rig):
+    handlers = [
+        partial(respond, framing, 9_000_000, "whole")
+        for framing in ("length", "chunked", "close")
+    ]
+    async with serve(rig, handlers) as target, contextlib.AsyncExitStack() as stack:
+        for number in range(len(handlers)):
+            _, writer = await stack.enter_async_context(
+                connect(target, number, timeout_ms=STALL_MS)
+            )
+            writer.transport.pause_reading()
+        await asyncio.sleep(STALL_MS / 1000 + 1)
+        assert target.numbers == {0, 1, 2}
+        assert target.open_numbers == []
+
+
 async def test_body_cut_by_the_end_of_a_stop_never_looks_complete(rig):
     """The last test of the file, because it stops the gateway."""
     responses = list(
