--- a/turmericrudder/http_protocol.py
+++ b/turmericrudder/http_protocol.py
@@ -68,6 +68,7 @@
         super().data_received(data)
         if self.parser is None or self._is_discarding:
             return
+        self._restart_idle_timer()
         if not self._is_head_complete:
             if self._framing_bytes > limits.head_bytes:
                 self._reject(_HEAD_TOO_LARGE_RESPONSE)
@@ -136,6 +137,13 @@
             self._get_limits().idle_timeout, self.timeout_keep_alive_handler
         )
 
+    def _restart_idle_timer(self):
+        """Limit the wait for the rest of a body whose request was answered before."""
+        is_answered = self.cycle is not None and self.cycle.response_complete
+        if is_answered and not self._is_in_head and not self.transport.is_closing():
+            self._unset_keepalive_if_required()
+            self._start_idle_timer()
+
     def _start_head_timer(self, limits):
         self._is_in_head = True
         self._head_timer = self.loop.call_later(
@@ -158,6 +166,8 @@
         ):
             self.transport.write(response)
             self.transport.close()
+        elif cycle.response_complete:
+            self.transport.close()  # in the rest of the body of an answered request
         else:
             self._is_discarding = True
             cycle.keep_alive = False
