--- a/turmericrudder/gateway/response_writer.py
+++ b/turmericrudder/gateway/response_writer.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from ..errors import ResponseFailed
 from ..events import catalogue
 from ..platform import protocol
 from ..units import MS_PER_SECOND
@@ -65,7 +66,7 @@
         """Send a target's response while its body is received.
 
         :raises ResponseFailed: if the target's response is truncated, or not complete
-            when the request expires.
+            or not read by the client when the request expires.
         """
         headers = self._filter_headers(response.headers)
         headers += _get_content_length(response.headers)
@@ -74,8 +75,8 @@
             await self._start(response.status, headers)
             async for chunk in response.connection.iter_chunks(self.request.expires):
                 size += len(chunk)
-                await self._write(chunk, True)
-            await self._write(b"", False)
+                await self._write_in_time(chunk, True)
+            await self._write_in_time(b"", False)
         finally:
             self._record_body(response, size)
             response.connection.close()
@@ -167,6 +168,12 @@
             {"type": "http.response.start", "status": status, "headers": headers}
         )
 
+    async def _write_in_time(self, chunk, has_more):
+        with anyio.move_on_at(self.request.expires) as scope:
+            await self._write(chunk, has_more)
+        if scope.cancelled_caught:
+            raise ResponseFailed("response not read by the client in time")
+
     async def _write(self, chunk, has_more):
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": has_more}
