--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -1,11 +1,15 @@
 """The delay and the target of hedged attempts."""
 
 from dataclasses import replace
+from functools import partial
 
+import anyio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from turmericrudder.gateway.hedging import run_hedged
+from turmericrudder.gateway.outcome import StreamingResponse
 from turmericrudder.steering import (
     NoTarget,
     NoTargetReason,
@@ -82,3 +86,28 @@
     for attempt_number in range(4):
         selection.target.start_request(attempt_number, 0.0)
     assert not can_hedge(selection, 0.0)
+
+
+class FakeConnection:
+    def __init__(self):
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("delay", [0.0, 5.0])
+async def test_streamed_response_that_arrives_with_the_timeout_is_closed(delay):
+    connections = [FakeConnection(), FakeConnection()]
+
+    async def respond(connection, scope):
+        await anyio.sleep(0.01)
+        scope.cancel()
+        return StreamingResponse(200, [], connection)
+
+    with anyio.CancelScope() as scope:
+        first, hedge = (partial(respond, item, scope) for item in connections)
+        await run_hedged(first, delay, lambda: hedge)
+    assert scope.cancelled_caught
+    assert connections[0].is_closed
--- a/turmericrudder/gateway/hedging.py
+++ b/turmericrudder/gateway/hedging.py
@@ -1,5 +1,7 @@
 """Concurrent execution of an attempt and a delayed hedge."""
 
+import contextlib
+
 import anyio
 
 from .outcome import (
@@ -26,21 +28,27 @@
     sender, receiver = anyio.create_memory_object_stream(2)
     outcomes, attempt_count = [], 1
     with sender, receiver:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_send_outcome, first, sender)
-            with anyio.move_on_after(delay):
-                outcomes.append(await receiver.receive())
-            if not outcomes:
-                hedge = get_hedge()
-                if hedge is not None:
-                    tasks.start_soon(_send_outcome, hedge, sender)
-                    attempt_count += 1
-            while len(outcomes) < attempt_count and not any(
-                map(is_final_response, outcomes)
-            ):
-                outcomes.append(await receiver.receive())
-            tasks.cancel_scope.cancel()
-        _discard_late_outcome(receiver)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_send_outcome, first, sender)
+                with anyio.move_on_after(delay):
+                    outcomes.append(await receiver.receive())
+                if not outcomes:
+                    hedge = get_hedge()
+                    if hedge is not None:
+                        tasks.start_soon(_send_outcome, hedge, sender)
+                        attempt_count += 1
+                while len(outcomes) < attempt_count and not any(
+                    map(is_final_response, outcomes)
+                ):
+                    outcomes.append(await receiver.receive())
+                tasks.cancel_scope.cancel()
+        except BaseException:
+            # A response may have arrived together with the cancellation.
+            _close_streams(outcomes)
+            raise
+        finally:
+            _close_streams(_get_late_outcomes(receiver))
     return max(outcomes, key=_get_preference)
 
 
@@ -48,14 +56,19 @@
     sender.send_nowait(await run_attempt())
 
 
-def _discard_late_outcome(receiver):
-    """Close the connection of a response that arrived together with the final one."""
-    try:
-        late = receiver.receive_nowait()
-    except anyio.WouldBlock:
-        return
-    if isinstance(late, StreamingResponse):
-        late.connection.close()
+def _get_late_outcomes(receiver):
+    """Return the outcomes that arrived together with the final one."""
+    late_outcomes = []
+    with contextlib.suppress(anyio.WouldBlock):
+        while True:
+            late_outcomes.append(receiver.receive_nowait())
+    return late_outcomes
+
+
+def _close_streams(outcomes):
+    for outcome in outcomes:
+        if isinstance(outcome, StreamingResponse):
+            outcome.connection.close()
 
 
 def _get_preference(outcome):
