--- a/tests/test_body_ends.py
+++ b/tests/test_body_ends.py
@@ -4,10 +4,14 @@
 import contextlib
 import itertools
 from functools import partial
+from types import SimpleNamespace
 
 import anyio
 import pytest
 
+from turmericrudder.gateway.body_reader import MAX_BUFFERED_BODY_BYTES, BodyReader
+from turmericrudder.steering import ClientLimits
+
 from .raw_peers import (
     PATIENT_MS,
     abort,
@@ -211,6 +215,21 @@
         assert target.open_numbers == []
 
 
+async def test_empty_part_of_a_request_body_is_not_its_last_chunk():
+    parts = [b"start", b"", b"x" * MAX_BUFFERED_BODY_BYTES, b"", b"end"]
+    messages = [{"body": part, "more_body": True} for part in parts]
+    messages.append({"body": b"", "more_body": False})
+
+    async def receive():
+        return {"type": "http.request", **messages.pop(0)}
+
+    limits = ClientLimits(1000, 1_000_000, 1.0, 1.0)
+    request = SimpleNamespace(expires=anyio.current_time() + 1)
+    await BodyReader({"headers": []}, receive, limits).read(request)
+    sent = [chunk async for chunk in request.body_stream]
+    assert [chunk for chunk in sent if chunk.startswith(b"0\r\n")] == sent[-1:]
+
+
 async def test_body_cut_by_the_end_of_a_stop_never_looks_complete(rig):
     """The last test of the file, because it stops the gateway."""
     responses = list(
--- a/turmericrudder/gateway/body_reader.py
+++ b/turmericrudder/gateway/body_reader.py
@@ -76,7 +76,7 @@
 
     async def _iter_rest(self, request, chunks, size):
         is_chunked = request.body_length is None
-        for chunk in chunks:
+        for chunk in filter(None, chunks):
             yield _encode_chunk(chunk) if is_chunked else chunk
         has_more = True
         while has_more:
@@ -100,4 +100,5 @@
 
 
 def _encode_chunk(chunk):
+    """Return a chunk; an empty one would be the last."""
     return b"%x\r\n%s\r\n" % (len(chunk), chunk)
