--- a/turmericrudder/gateway/response_writer.py
+++ b/turmericrudder/gateway/response_writer.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from ..errors import ResponseFailed
+from ..errors import RequestRejected, ResponseFailed
 from ..events import catalogue
 from ..platform import protocol
 from ..units import MS_PER_SECOND
@@ -65,6 +65,7 @@
     async def write_streaming(self, response):
         """Send a target's response while its body is received.
 
+        :raises RequestRejected: if the client could not tell the end of the body.
         :raises ResponseFailed: if the target's response is truncated, or not complete
             or not read by the client when the request expires.
         """
@@ -72,6 +73,8 @@
         headers += _get_content_length(response.headers)
         size = 0
         try:
+            if self._is_end_unknown(response):
+                raise RequestRejected(502, "an HTTP/1.0 client needs a length")
             await self._start(response.status, headers)
             async for chunk in response.connection.iter_chunks(self.request.expires):
                 size += len(chunk)
@@ -82,6 +85,11 @@
             response.connection.close()
         self.finish(catalogue.ROUTE_ANSWERED, response.status)
 
+    def _is_end_unknown(self, response):
+        """Return whether a client without chunks could not tell the end of a body."""
+        is_chunkless = self._scope["http_version"] == "1.0"
+        return is_chunkless and not _get_content_length(response.headers)
+
     async def write_local(self, response):
         """Send a response made by this instance."""
         headers = [(b"content-length", b"0")]
