--- a/turmericrudder/gateway/response_writer.py
+++ b/turmericrudder/gateway/response_writer.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from ..errors import RequestRejected, ResponseFailed
 from ..events import catalogue
 from ..platform import protocol
 from ..units import MS_PER_SECOND
@@ -51,7 +52,10 @@
     async def write_complete(self, response):
         """Send a target's complete response."""
         headers = self._filter_headers(response.headers)
-        if response.status not in _BODYLESS_STATUSES:
+        if self.request.method == "HEAD":
+            # It is the length that the body of a GET would have.
+            headers += _get_content_length(response.headers)
+        elif response.status not in _BODYLESS_STATUSES:
             headers.append((b"content-length", b"%d" % len(response.body)))
         await self._start(response.status, headers)
         await self._write(response.body, False)
@@ -61,23 +65,31 @@
     async def write_streaming(self, response):
         """Send a target's response while its body is received.
 
+        :raises RequestRejected: if the client could not tell the end of the body.
         :raises ResponseFailed: if the target's response is truncated, or not complete
-            when the request expires.
+            or not read by the client when the request expires.
         """
         headers = self._filter_headers(response.headers)
-        headers += [pair for pair in response.headers if pair[0] == b"content-length"]
+        headers += _get_content_length(response.headers)
         size = 0
         try:
+            if self._is_end_unknown(response):
+                raise RequestRejected(502, "an HTTP/1.0 client needs a length")
             await self._start(response.status, headers)
             async for chunk in response.connection.iter_chunks(self.request.expires):
                 size += len(chunk)
-                await self._write(chunk, True)
-            await self._write(b"", False)
+                await self._write_in_time(chunk, True)
+            await self._write_in_time(b"", False)
         finally:
             self._record_body(response, size)
             response.connection.close()
         self.finish(catalogue.ROUTE_ANSWERED, response.status)
 
+    def _is_end_unknown(self, response):
+        """Return whether a client without chunks could not tell the end of a body."""
+        is_chunkless = self._scope["http_version"] == "1.0"
+        return is_chunkless and not _get_content_length(response.headers)
+
     async def write_local(self, response):
         """Send a response made by this instance."""
         headers = [(b"content-length", b"0")]
@@ -164,7 +176,17 @@
             {"type": "http.response.start", "status": status, "headers": headers}
         )
 
+    async def _write_in_time(self, chunk, has_more):
+        with anyio.move_on_at(self.request.expires) as scope:
+            await self._write(chunk, has_more)
+        if scope.cancelled_caught:
+            raise ResponseFailed("response not read by the client in time")
+
     async def _write(self, chunk, has_more):
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": has_more}
         )
+
+
+def _get_content_length(headers):
+    return [pair for pair in headers if pair[0] == b"content-length"]
--- a/turmericrudder/http_protocol.py
+++ b/turmericrudder/http_protocol.py
@@ -68,9 +68,7 @@
         super().data_received(data)
         if self.parser is None or self._is_discarding:
             return
-        if not self._is_in_head and self._is_idle():
-            # Empty lines belong to no request, but they have stopped the timer.
-            self._start_idle_timer()
+        self._restart_idle_timer()
         if not self._is_head_complete:
             if self._framing_bytes <= limits.head_bytes:
                 return
@@ -144,14 +142,21 @@
             self.cycle.response_complete and not self.cycle.more_body
         )
 
-    def _is_idle(self):
-        return self.timeout_keep_alive_task is None and self._is_between_requests()
-
     def _start_idle_timer(self):
         self.timeout_keep_alive_task = self.loop.call_later(
             self._get_limits().idle_timeout, self.timeout_keep_alive_handler
         )
 
+    def _restart_idle_timer(self):
+        """Limit the wait for a request, or for the rest of one that was answered.
+
+        Any bytes have stopped the timer, also empty lines, which belong to no request.
+        """
+        is_answered = self.cycle is None or self.cycle.response_complete
+        if is_answered and not self._is_in_head and not self.transport.is_closing():
+            self._unset_keepalive_if_required()
+            self._start_idle_timer()
+
     def _start_head_timer(self, limits):
         self._is_in_head = True
         self._head_timer = self.loop.call_later(
@@ -174,6 +179,8 @@
         ):
             self.transport.write(response)
             self.transport.close()
+        elif cycle.response_complete:
+            self.transport.close()  # in the rest of the body of an answered request
         else:
             self._is_discarding = True
             cycle.keep_alive = False
