--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,17 +1,15 @@
 """TCP proxy on loopback that injects faults into its connections."""
 
+import asyncio
 from enum import Enum
 
 import anyio
 
+from standins.asgi import reset_transport
+
 __all__ = ["Proxy", "ProxyFault"]
 
 CHUNK_BYTES = 64 * 1024
-_CLOSED_ERRORS = (
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
 # Seconds added to each chunk, and between checks whether a blocking fault has ended.
 FAULT_DELAY = 0.15
 
@@ -29,6 +27,9 @@
 class Proxy:
     """Forwards connections on one port to another port of the same host.
 
+    The end of a body may be the end of its connection. So a connection that was reset
+    on one side, or by a fault, is reset on the other, and never closed.
+
     :ivar fault: the :class:`ProxyFault` in force.
     """
 
@@ -37,59 +38,57 @@
         self.port = port
         self.fault = ProxyFault.NONE
         self._target_port = target_port
-        self._streams = set()
+        self._transports = set()
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         """Accept connections until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host=self.host, local_port=self.port
-        )
+        server = await asyncio.start_server(self._handle, self.host, self.port)
         task_status.started()
-        async with listener:
-            await listener.serve(self._handle)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            server.close()
+            self.reset_connections()
 
-    async def close_connections(self):
-        """Close all open connections."""
-        for stream in list(self._streams):
-            await stream.aclose()
+    def reset_connections(self):
+        """Reset all open connections."""
+        for transport in self._transports:
+            reset_transport(transport)
 
-    async def _handle(self, client_stream):
+    async def _handle(self, client_reader, client_writer):
         if self.fault is ProxyFault.REFUSE:
-            await client_stream.aclose()
+            client_writer.close()
             return
         try:
-            target_stream = await anyio.connect_tcp(self.host, self._target_port)
+            target_reader, target_writer = await asyncio.open_connection(
+                self.host, self._target_port
+            )
         except OSError:
-            await client_stream.aclose()
+            client_writer.close()
             return
-        self._streams |= {client_stream, target_stream}
+        transports = {client_writer.transport, target_writer.transport}
+        self._transports |= transports
         try:
-            async with client_stream, target_stream, anyio.create_task_group() as tasks:
-                tasks.start_soon(
-                    self._forward,
-                    client_stream,
-                    target_stream,
-                    False,
-                    tasks.cancel_scope,
-                )
-                tasks.start_soon(
-                    self._forward,
-                    target_stream,
-                    client_stream,
-                    True,
-                    tasks.cancel_scope,
-                )
+            async with anyio.create_task_group() as tasks:
+                for direction in (
+                    (client_reader, target_writer, False),
+                    (target_reader, client_writer, True),
+                ):
+                    tasks.start_soon(self._forward, *direction, tasks.cancel_scope)
+        except* OSError:
+            for transport in transports:
+                reset_transport(transport)
         finally:
-            self._streams -= {client_stream, target_stream}
-
-    async def _forward(self, source, sink, is_response, scope):
-        try:
-            while True:
-                chunk = await source.receive(CHUNK_BYTES)
-                await self._apply_fault(is_response)
-                await sink.send(chunk)
-        except _CLOSED_ERRORS:
-            scope.cancel()
+            self._transports -= transports
+            for transport in transports:
+                transport.close()
+
+    async def _forward(self, reader, writer, is_response, scope):
+        while chunk := await reader.read(CHUNK_BYTES):
+            await self._apply_fault(is_response)
+            writer.write(chunk)
+            await writer.drain()
+        scope.cancel()
 
     async def _apply_fault(self, is_response):
         if self.fault is ProxyFault.DELAY:
--- a/standins/asgi.py
+++ b/standins/asgi.py
@@ -1,5 +1,9 @@
 """Functions for writing ASGI applications and serving them with uvicorn."""
 
+import socket
+import struct
+from urllib.parse import parse_qsl
+
 import anyio
 import msgspec
 
@@ -9,12 +13,17 @@
 __all__ = [
     "abort_connection",
     "cancel_on_disconnect",
+    "parse_query",
     "read_body",
+    "reset_connection",
+    "reset_transport",
     "send_response",
     "serve",
     "wait_disconnected",
 ]
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER enabled with a time of 0 s
+
 
 async def serve(applications):
     """Serve applications until cancelled.
@@ -66,6 +75,24 @@
     send.__self__.transport.abort()
 
 
+def reset_connection(send):
+    """Reset the connection of a request."""
+    reset_transport(send.__self__.transport)
+
+
+def reset_transport(transport):
+    """Reset the connection of an asyncio transport."""
+    if not transport.is_closing():
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
+def parse_query(scope):
+    """Return the query of a request as a dictionary."""
+    return dict(parse_qsl(scope["query_string"].decode("latin-1")))
+
+
 async def cancel_on_disconnect(receive, scope):
     """Cancel a scope once the client of a request has closed its connection."""
     await wait_disconnected(receive)
--- a/standins/target.py
+++ b/standins/target.py
@@ -1,11 +1,20 @@
 """Stand-in of a target that speaks the platform's protocol."""
 
+import random
+
 import anyio
 import msgspec
 
 from turmericrudder.platform import protocol
 
-from .asgi import abort_connection, cancel_on_disconnect, read_body, send_response
+from .asgi import (
+    abort_connection,
+    cancel_on_disconnect,
+    parse_query,
+    read_body,
+    send_response,
+)
+from .body import BodyFault, Framing, make_body, send_body
 
 __all__ = ["TargetApplication"]
 
@@ -36,23 +45,30 @@
 class TargetApplication:
     """One target, as an ASGI application.
 
+    The query of a request may ask for a body of ``size`` bytes and for its
+    ``framing``.
+
     :param service_time: seconds that a request takes.
+    :param seed: seed of the random part of its faults.
     :ivar fault: the :class:`TargetFault` in force.
+    :ivar body_fault: the :class:`~.body.BodyFault` in force.
     :ivar runs: attempt ids of the requests that it began to execute, in order.
     :ivar cancelled: number of requests whose client disconnected before their end.
     :ivar deadlines: deadline header of each request in ``runs``, in milliseconds.
     """
 
-    def __init__(self, target_id, slots=4, service_time=0.01):
+    def __init__(self, target_id, slots=4, service_time=0.01, seed=0):
         self.target_id = target_id
         self.slots = slots
         self.service_time = service_time
         self.fault = TargetFault()
+        self.body_fault = BodyFault()
         self.runs = []
         self.cancelled = 0
         self.deadlines = []
         self.in_flight = 0
         self.max_in_flight = 0
+        self._random = random.Random(f"{seed} {target_id}")
 
     async def __call__(self, scope, receive, send):
         """Handle one HTTP request."""
@@ -87,11 +103,17 @@
             self.fault.lose_answers -= 1
             abort_connection(send)
             return
-        content = b"%s %s %d" % (scope["raw_path"], attempt_id, len(body))
+        query = parse_query(scope)
+        size = int(query.get("size", self.body_fault.size))
+        framing = Framing(query.get("framing", self.body_fault.framing))
+        content = make_body(scope["raw_path"], attempt_id, len(body), size)
         response_headers = self._make_headers(attempt_id)
         if not self.fault.unsigned:
             response_headers.append((protocol.RESPONSE_SIGNATURE_HEADER, b"signed"))
-        await send_response(send, self.fault.status, content, response_headers)
+        head = (self.fault.status, response_headers)
+        await send_body(
+            receive, send, head, content, framing, self.body_fault, self._random
+        )
 
     async def _process(self, receive):
         """Return whether the request was processed before its client disconnected."""
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -11,7 +11,13 @@
 from turmericrudder.ini import parse_ini
 from turmericrudder.units import MS_PER_SECOND
 
-from .asgi import abort_connection, cancel_on_disconnect, read_body, send_response
+from .asgi import (
+    abort_connection,
+    cancel_on_disconnect,
+    parse_query,
+    read_body,
+    send_response,
+)
 from .journal import Journal
 
 __all__ = ["UpstreamApplication", "read_upstreams"]
@@ -167,7 +173,7 @@
             abort_connection(send)
             return
         prefix = scope["path"].encode() + b"?" + scope["query_string"]
-        size = _get_response_size(scope["query_string"])
+        size = int(parse_query(scope).get("size", 0))
         content = prefix + b"\n" + str(len(body)).encode() + b"\n"
         content += b"x" * max(0, size - len(content))
         if self._fault.truncate > 0:
@@ -227,12 +233,3 @@
     """Return the seconds until the request's deadline, or ``None`` without one."""
     value = headers.get(DEADLINE_HEADER)
     return None if value is None else int(value) / MS_PER_SECOND
-
-
-def _get_response_size(query):
-    """Return the response size in bytes that a query asks for, or 0."""
-    for part in query.split(b"&"):
-        name, _, value = part.partition(b"=")
-        if name == b"size" and value.isdigit():
-            return int(value)
-    return 0
