--- a/soak/environment.py
+++ b/soak/environment.py
@@ -117,14 +117,15 @@
     :param directory: directory for the settings and logs of gateways.
     :param gateways: number of gateways.
     :param targets: number of targets.
+    :param seed: seed of the random part of the targets' faults.
     """
 
-    def __init__(self, first_port, directory, gateways=3, targets=6):
+    def __init__(self, first_port, directory, gateways=3, targets=6, seed=0):
         self._first_port = first_port
         self._directory = Path(directory)
         self.store = StoreApplication(0.0)
         self.targets = [
-            TargetApplication(f"t{number}", slots=4, service_time=0.02)
+            TargetApplication(f"t{number}", slots=4, service_time=0.02, seed=seed)
             for number in range(targets)
         ]
         self.target_proxies = [
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,6 +7,7 @@
 
 # Statuses that guarantee that no target executed the request.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+TARGET_STATUSES = (200, 500)  # with a body of the target's
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,6 +18,9 @@
     :param has_expected_body: whether the response body has the path, the attempt id
         and the body length of the request.
     :param end_time: monotonic time of its end, in seconds.
+    :param defect: why a body with these is not the target's whole body, ``""`` if it
+        is.
+    :param has_left: whether the client left before the end of the response.
     """
 
     attempt_id: str
@@ -24,6 +28,8 @@
     status: int | None
     has_expected_body: bool
     end_time: float
+    defect: str = ""
+    has_left: bool = False
 
 
 class History:
@@ -57,6 +63,11 @@
                 violations.append(
                     f"{result.attempt_id} got a response that is not its own"
                 )
+            if result.status in TARGET_STATUSES and result.defect:
+                violations.append(
+                    f"{result.attempt_id} got {result.status} that looks complete, "
+                    f"but is not the target's whole body: {result.defect}"
+                )
             if result.status == 200 and not run_count:
                 violations.append(f"{result.attempt_id} succeeded and never ran")
             if result.status == 404:
@@ -71,7 +82,14 @@
         return violations
 
     def get_success_rate(self, since):
-        """Return the fraction of the requests ended since a time that got a 200."""
-        recent = [result for result in self.results if result.end_time >= since]
+        """Return the fraction of the requests ended since a time that got a 200.
+
+        Those whose client left do not count.
+        """
+        recent = [
+            result
+            for result in self.results
+            if result.end_time >= since and not result.has_left
+        ]
         successes = sum(result.status == 200 for result in recent)
         return successes / len(recent) if recent else 0.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,17 +1,18 @@
 """One seeded run: requests under overlapping faults, recovery, and the checks."""
 
+import itertools
 import random
 import signal
 import tempfile
 from dataclasses import dataclass, field
 
 import anyio
-import httpcore
 
-from turmericrudder.http_client import TRANSPORT_ERRORS, make_timeout_extensions
+from standins.body import BodyFault, BodyFaultKind
 
-from .environment import HOST, Environment
-from .history import History, RequestResult
+from .client import Client
+from .environment import Environment
+from .history import History
 from .proxy import ProxyFault
 
 __all__ = ["SoakResult", "run_seed"]
@@ -21,8 +22,6 @@
 PORTS_PER_SEED = 180
 PORT_RANGE_COUNT = 50
 CLIENT_COUNT = 12
-REQUEST_INTERVAL = (0.01, 0.08)  # seconds between a client's requests
-CLIENT_TIMEOUT = 4.0  # seconds
 FAULT_INTERVAL = (0.2, 1.2)  # seconds between the starts of faults
 FAULT_DURATION = (0.4, 2.5)  # seconds
 START_TIMEOUT = 10.0  # seconds
@@ -34,6 +33,14 @@
 CONFIGURATION_TIME = 2.5  # seconds until a change is in force
 RESTORE_INTERVAL = (0.5, 3.0)  # seconds from a restore of the store to the next copy
 COPY_AGE = (0.1, 3.0)  # seconds from a copy of the store to its restoration
+BODY_FAULT_INTERVAL = (0.1, 0.4)  # seconds between the starts of faults in bodies
+BODY_FAULTS = (*BodyFaultKind, BodyFaultKind.STALL, BodyFaultKind.STALL)
+# Bytes of the shortest body with a fault. A target with faults in all bodies soon gets
+# few requests.
+BODY_FAULT_SIZES = (0, 50_000, 300_000, 300_000)
+BODY_FAULT_SHARES = (0.3, 1.0)  # of a target's responses
+BODY_FAULT_COUNTS = (None, None, 3)  # of a target's responses
+BODY_FAULT_PAUSE = (0.01, 0.6)  # seconds
 DRAIN_TIME = 2.5  # seconds until a draining target gets no new requests
 DRAIN_CHECK_TIME = 1.0  # seconds after DRAIN_TIME in which no request may arrive
 
@@ -62,7 +69,7 @@
     """
     directory = directory or tempfile.mkdtemp(prefix="soak-")
     first_port = FIRST_PORT + PORTS_PER_SEED * (seed % PORT_RANGE_COUNT)
-    environment = Environment(first_port, directory)
+    environment = Environment(first_port, directory, seed=seed)
     run = _SoakRun(environment, seed)
     async with anyio.create_task_group() as tasks:
         try:
@@ -82,19 +89,23 @@
         self._environment = environment
         self._random = random.Random(seed)
         self._history = History()
-        self._is_stopped = False
-        self._request_count = 0
+        numbers = itertools.count(1)
+        self._clients = [
+            Client(number, seed, environment, self._history, numbers)
+            for number in range(CLIENT_COUNT)
+        ]
 
     async def execute(self, seconds):
         """Send requests under faults, let the gateways recover, check the results."""
         await self._wait_until_serving()
         async with anyio.create_task_group() as clients:
-            for number in range(CLIENT_COUNT):
-                clients.start_soon(self._run_client, number)
+            for client in self._clients:
+                clients.start_soon(client.run)
             async with anyio.create_task_group() as faults:
                 end = anyio.current_time() + seconds
                 faults.start_soon(self._change_configuration, end)
                 faults.start_soon(self._restore_store, end)
+                faults.start_soon(self._fail_bodies, end)
                 while anyio.current_time() < end:
                     faults.start_soon(self._inject_fault, *self._draw_fault())
                     await anyio.sleep(self._random.uniform(*FAULT_INTERVAL))
@@ -102,7 +113,8 @@
             recovery_end = anyio.current_time()
             await self._check_configuration()
             await self._check_drain()
-            self._is_stopped = True
+            for client in self._clients:
+                client.stop()
         result = self.result
         result.request_count = len(self._history.results)
         result.success_rate = self._history.get_success_rate(recovery_end)
@@ -154,7 +166,7 @@
                 (f"pause g{gateway}", self._pause, gateway),
                 (f"hup g{gateway}", self._send_sighup, gateway),
                 (f"{fault.value} t{target}", self._fail_proxy, (target_proxy, fault)),
-                (f"reset t{target}", self._close_connections, target_proxy),
+                (f"reset t{target}", self._reset_connections, target_proxy),
                 (
                     f"{fault.value} store g{gateway}",
                     self._fail_proxy,
@@ -208,8 +220,8 @@
         await anyio.sleep(seconds)
         proxy.fault = ProxyFault.NONE
 
-    async def _close_connections(self, proxy, seconds):
-        await proxy.close_connections()
+    async def _reset_connections(self, proxy, seconds):
+        proxy.reset_connections()
 
     async def _fail_store(self, fault, seconds):
         self._environment.set_store_fault(**fault)
@@ -240,6 +252,31 @@
             self.result.faults.append("store restored")
             self._environment.restore_store(copy)
 
+    async def _fail_bodies(self, end):
+        """Start faults in the bodies of targets' responses until a time."""
+        rng = random.Random(f"{self.result.seed} bodies")
+        async with anyio.create_task_group() as tasks:
+            while anyio.current_time() < end:
+                await anyio.sleep(rng.uniform(*BODY_FAULT_INTERVAL))
+                number = rng.randrange(len(self._environment.targets))
+                fault = BodyFault(
+                    kind=rng.choice(BODY_FAULTS),
+                    min_size=rng.choice(BODY_FAULT_SIZES),
+                    share=rng.choice(BODY_FAULT_SHARES),
+                    count=rng.choice(BODY_FAULT_COUNTS),
+                    pause=rng.uniform(*BODY_FAULT_PAUSE),
+                )
+                self.result.faults.append(f"body {fault.kind.value} t{number}")
+                seconds = rng.uniform(*FAULT_DURATION)
+                tasks.start_soon(self._fail_body, number, fault, seconds)
+
+    async def _fail_body(self, number, fault, seconds):
+        target = self._environment.targets[number]
+        target.body_fault = fault
+        await anyio.sleep(seconds)
+        if target.body_fault is fault:
+            target.body_fault = BodyFault()
+
     async def _fail_target(self, number_and_fault, seconds):
         number, fault = number_and_fault
         self._environment.set_target_fault(number, **fault)
@@ -254,56 +291,4 @@
     async def _wait_until_serving(self):
         with anyio.fail_after(START_TIMEOUT):
             for number in range(len(self._environment.gateways)):
-                async with httpcore.AsyncConnectionPool() as pool:
-                    while not await self._send_request(pool, number):
-                        await anyio.sleep(0.05)
-
-    async def _run_client(self, number):
-        """Send requests over one connection until no complete response arrives.
-
-        Then continue over a new connection to a gateway chosen at random.
-        """
-        rng = random.Random(f"{self.result.seed} {number}")
-        gateway = number % len(self._environment.gateways)
-        while not self._is_stopped:
-            async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
-                while not self._is_stopped and await self._send_request(pool, gateway):
-                    await anyio.sleep(rng.uniform(*REQUEST_INTERVAL))
-            gateway = rng.randrange(len(self._environment.gateways))
-            await anyio.sleep(rng.uniform(*REQUEST_INTERVAL))
-
-    async def _send_request(self, pool, gateway):
-        """Send one request and return whether a complete response arrived."""
-        self._request_count += 1
-        number = self._request_count
-        is_idempotent = number % 2 == 0
-        attempt_id = f"s{self.result.seed}n{number}"
-        path = "/read/x" if is_idempotent else "/write/x"
-        headers = {
-            "Host": "h",
-            "X-Attempt-Id": attempt_id,
-            "X-Affinity-Key": str(number % 20),
-            "X-Deadline-Ms": "3000",
-        }
-        status, has_expected_body = None, False
-        try:
-            response = await pool.request(
-                "GET" if is_idempotent else "POST",
-                f"http://{HOST}:{self._environment.get_client_port(gateway)}{path}",
-                headers=headers,
-                content=b"" if is_idempotent else b"body",
-                extensions=make_timeout_extensions(CLIENT_TIMEOUT),
-            )
-        except TRANSPORT_ERRORS:
-            response = None
-        if response is not None:
-            status = response.status
-            length = 0 if is_idempotent else 4
-            has_expected_body = (
-                response.content == f"{path} {attempt_id} {length}".encode()
-            )
-        now = anyio.current_time()
-        self._history.record(
-            RequestResult(attempt_id, is_idempotent, status, has_expected_body, now)
-        )
-        return status is not None
+                await self._clients[0].wait_until_serving(number)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -77,6 +77,16 @@
         (RequestResult("a", False, 200, True, 0.0), ["a", "a"], "ran 2 times"),
         (RequestResult("a", False, 503, True, 0.0), ["a"], "got 503 and ran"),
         (RequestResult("a", True, 200, False, 0.0), ["a"], "not its own"),
+        (
+            RequestResult("a", True, 200, True, 0.0, "9 bytes"),
+            ["a"],
+            "not the target's",
+        ),
+        (
+            RequestResult("a", True, 500, True, 0.0, "9 bytes"),
+            ["a"],
+            "not the target's",
+        ),
         (RequestResult("a", True, 200, True, 0.0), [], "never ran"),
         (RequestResult("a", True, 404, True, 0.0), [], "404"),
         (RequestResult("a", True, 200, True, 0.0), ["a", "b"], "no client sent it"),
@@ -93,5 +103,6 @@
     history.record(RequestResult("a", True, 200, True, 0.0))
     history.record(RequestResult("b", False, 502, False, 0.0))
     history.record(RequestResult("c", False, None, False, 0.0))
+    history.record(RequestResult("d", True, None, False, 0.0, has_left=True))
     assert history.find_violations(["a", "a", "b", "c"]) == []
     assert history.get_success_rate(0.0) == pytest.approx(1 / 3)
