--- a/turmericrudder/gateway/response_parser.py
+++ b/turmericrudder/gateway/response_parser.py
@@ -60,7 +60,6 @@
         self.buffered_bytes = 0
         self.keepalive_timeout = None
         self._parser = httptools.HttpResponseParser(self)
-        self._reason = b""
         self._chunks = []
         self._scanner = HeadScanner(protocol.ATTEMPT_ID_HEADER)
         self._known_ids = deque(maxlen=MAX_KNOWN_IDS)
