--- a/tests/test_second_answer.py
+++ b/tests/test_second_answer.py
@@ -167,15 +167,17 @@
     [
         b"X-Response-Signature: 3e1b.07\r\nX-Attempt-Id: %s\r\n" % OWN_ID,
         b"X-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n" % OWN_ID,
+        b'Date: Sun, 06 Dec 2026 02:\r\nETag: W/"a=b-;c/"\r\nX: (1)\r\n',
     ],
-    ids=["id-last", "id-first"],
+    ids=["id-last", "id-first", "no-id"],
 )
 def test_second_response_within_a_head_is_never_a_part_of_it(lines):
     head = b"HTTP/1.1 503 Busy\r\n" + lines
     second = b"".join(make_response(b"second", LENGTH))
     for end in range(1, len(head)):
-        # Between words, a value may quote a status line.
-        if head[end - 1 : end].isalnum() or OWN_ID in head[:end]:
+        # Within a value, a status line may be quoted.
+        is_quoted = head[end - 1 : end] in (b" ", b'"', b"(") and head[end - 2] != 58
+        if not is_quoted:
             assert parse(head[:end] + second, ()) is None
             assert parse(head[:end] + second, range(end + len(second))) is None
 
--- a/turmericrudder/gateway/response_parser.py
+++ b/turmericrudder/gateway/response_parser.py
@@ -31,8 +31,11 @@
 MAX_KNOWN_IDS = 32
 MAX_KNOWN_ID_BYTES = 256
 MAX_REASON_BYTES = 1024  # of a reason phrase that are looked at
-# Where a head broke off in a word and another one goes on in the same line.
-_JOINED_LINE = re.compile(rb"[0-9A-Za-z]HTTP/1\.[01] [1-5][0-9]{2}(?: |$)", re.M)
+# Where a head broke off and another one goes on in the same line. A value that quotes a
+# status line has a space or a bracket before it.
+_JOINED_LINE = re.compile(
+    rb"(?:^|[^\s\"'(\[<])HTTP/1\.[01] [1-5][0-9]{2}(?: |$)", re.MULTILINE
+)
 _EMPTY_LINE = b"\r\n\r\n"
 _BODYLESS_STATUSES = (204, 304)
 _FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
