--- a/tests/test_second_answer.py
+++ b/tests/test_second_answer.py
@@ -1,6 +1,7 @@
 """A target whose response breaks off, and that then sends another, whole response."""
 
 import contextlib
+import time
 
 import anyio
 import pytest
@@ -14,6 +15,7 @@
     HIGH_WATERMARK_BYTES,
     open_connection,
 )
+from turmericrudder.head_scanner import HeadScanner
 
 HOST = "127.0.20.29"
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
@@ -186,3 +188,15 @@
     head, body = make_response(b"body", LENGTH)
     head = head.replace(b"Server: t", b"X-Probe: 1 HTTP/1.1 200 OK")
     assert parse(head + body, ()) == b"body"
+
+
+def test_body_of_many_status_lines_without_an_end_is_scanned_in_linear_time():
+    body = b'{"m":"GET /x HTTP/1.1 200 12"},' * 20_000
+    spaces = b"\r\nX-Attempt-Id: a" + b" " * 200_000 + b"b\r\n"
+    for data in (body, spaces + body, b"HTTP/1.1 200 OK" + spaces):
+        scanner = HeadScanner(b"x-attempt-id")
+        scanner.start([b"id"], b"X-Attempt-Id")
+        started_at = time.process_time()
+        for position in range(0, len(data), 65_536):
+            assert not scanner.feed(data[position : position + 65_536])
+        assert time.process_time() - started_at < 1.0
--- a/turmericrudder/head_scanner.py
+++ b/turmericrudder/head_scanner.py
@@ -16,7 +16,8 @@
 MAX_HEAD_START_BYTES = 2048
 
 _START = b"HTTP/1."
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r\n")
+# Without a bound on the reason phrase, a long line of starts takes quadratic time.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]{0,240}+)?+\r\n")
 _HEADER_LINES = re.compile(rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*\r\n)*+")
 
 
@@ -34,7 +35,7 @@
         :param id_header: name of the header that has the id.
         """
         self._id_line = re.compile(
-            rb"^%s:[ \t]*([^\r\n]*?)[ \t]*\r\n" % re.escape(id_header),
+            rb"^%s:([^\r\n]*+)\r\n" % re.escape(id_header),
             re.IGNORECASE | re.MULTILINE,
         )
         self.start((), b"")
@@ -72,7 +73,7 @@
                 self._is_in_head = True
             end = _HEADER_LINES.match(data, position).end()
             for match in self._id_line.finditer(data, position, end):
-                if match[1] in self._ids:
+                if match[1].strip(b" \t") in self._ids:
                     return True
             if len(data) - end <= MAX_HEADER_LINE_BYTES and data.find(b"\n", end) < 0:
                 self._keep(data[end:])
