--- a/turmericrudder/gateway/client_application.py
+++ b/turmericrudder/gateway/client_application.py
@@ -158,7 +158,7 @@
     for name, value in headers:
         if name[-1:] in _WHITESPACE:
             raise RequestRejected(400, "whitespace after a header name")
-        if name == b"transfer-encoding" and value.lower() != b"chunked":
+        if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
             raise RequestRejected(400, "transfer-encoding is not chunked alone")
         if name in _SINGLE_HEADERS:
             if name in seen:
