--- a/turmericrudder/gateway/upstream_connection.py
+++ b/turmericrudder/gateway/upstream_connection.py
@@ -200,7 +200,7 @@
 
     def eof_received(self):
         self._record_loss()
-        # A reset that followed the close may have discarded a part of the response.
+        # A reset right after the close shows that the target gave up the connection.
         sock = self._transport.get_extra_info("socket")
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         self._handle_end(f"reset after close: {os.strerror(error)}" if error else None)
