--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -41,6 +41,7 @@
 def test_leaving_in_a_response():
     said = [(b"server-leaving", b"1")]
     assert decode_leaving(200, said) and decode_leaving(503, said)
+    assert decode_leaving(200, [(b"server-leaving", b"1 ")])
     assert not decode_leaving(421, said)  # another target has the address
     assert not decode_leaving(200, [(b"server-leaving", b"0")])
 
@@ -82,7 +83,11 @@
     assert {choice.reason for choice in refused} == {NoTargetReason.ALL_PAUSED}
     waits = [choice.retry_after for choice in refused]
     assert 1.0 <= min(waits) < max(waits) <= 1.5
+    targets[0].eject(1.0)
+    targets[1].eject(1.0)
+    assert balancer.choose(request, 1.0).retry_after >= 1.0  # a pause outlasts it
     targets[0].record_response(0.1, 1.0)  # to a request sent before the pause
+    targets[0].start_request(0, 0.0)  # sent before the pause, it takes long
     now = 2.1
     first = balancer.choose(make_selection_request(now=now), now)
     assert first.target is targets[0]
--- a/turmericrudder/gateway/health_monitor.py
+++ b/turmericrudder/gateway/health_monitor.py
@@ -104,14 +104,15 @@
         if profile is None:
             return
         async with self._limiter:
-            if target.notices.is_paused(anyio.current_time()):
-                return
             self.check_count += 1
             asked_at = anyio.current_time()
             try:
-                status, headers = await self._call(target, profile.health_path)
+                response = await self._call(target, profile.health_path)
             except (ConnectFailed, ResponseFailed, TimeoutError):
                 return  # an attempt that fails ejects the target
+        if response is None:
+            return
+        status, headers = response
         now = anyio.current_time()
         self._record_notices(target, status, headers, now)
         cold_left = decode_cold_time(status, headers, target.endpoint.id)
@@ -136,10 +137,12 @@
             target.record_pause(pause, now)
 
     async def _call(self, target, path):
-        """Return status and headers of a target's response."""
+        """Return status and headers of a response, ``None`` while it wants a pause."""
         address = target.endpoint.address
         connection = await open_connection(address, CHECK_TIMEOUT)
         try:
+            if target.notices.is_paused(anyio.current_time()):
+                return None
             with anyio.fail_after(CHECK_TIMEOUT):
                 await connection.send_request(
                     encode_health_check(address, path), b"", None
--- a/turmericrudder/platform/target_notices.py
+++ b/turmericrudder/platform/target_notices.py
@@ -18,7 +18,10 @@
     :param headers: (name in lower case, value) pairs of the response.
     """
     # A response with 421 is of another target at the same address.
-    return status != 421 and (protocol.SERVER_LEAVING_HEADER, _LEAVING) in headers
+    return status != 421 and any(
+        name == protocol.SERVER_LEAVING_HEADER and value.strip() == _LEAVING
+        for name, value in headers
+    )
 
 
 def decode_pause(status, headers, unix_time):
--- a/turmericrudder/steering/candidate_finder.py
+++ b/turmericrudder/steering/candidate_finder.py
@@ -102,7 +102,9 @@
             for targets in reachable
         ]
         if not any(within_limits):
-            return self._make_no_target([*reachable[0], *reachable[1]], now)
+            return self._make_no_target(
+                [*reachable[0], *reachable[1]], [*allowed[0], *allowed[1]], now
+            )
         has_waited = request.has_waited_for_trials
         tried = tuple(
             [target for target in targets if target.may_try(has_waited)]
@@ -112,14 +114,18 @@
             return NoTarget(NoTargetReason.ALL_UNTRIED, UNTRIED_RETRY_AFTER)
         return tried
 
-    def _make_no_target(self, targets, now):
-        """Return :class:`NoTarget` for targets none of which can take a request now."""
-        if all(target.notices.is_paused(now) for target in targets):
-            wait = min(target.notices.paused_until for target in targets) - now
+    def _make_no_target(self, reachable, allowed, now):
+        """Return :class:`NoTarget` if none of some targets can take a request now.
+
+        :param reachable: those of ``allowed`` that are not ejected, or all if all are.
+        """
+        if all(target.notices.is_paused(now) for target in reachable):
+            ends = [max(t.notices.paused_until, t.ejected_until) for t in allowed]
+            wait = min(ends) - now
             # Clients that return together would end the next pause at once.
             wait *= 1.0 + MAX_PAUSE_SPREAD * self._random.random()
             return NoTarget(NoTargetReason.ALL_PAUSED, wait)
-        targets = [t for t in targets if not t.notices.is_paused(now)]
+        targets = [t for t in reachable if not t.notices.is_paused(now)]
         wait = min(
             target.rate_limiter.get_wait(target.endpoint, self._members, now)
             or COLD_RETRY_AFTER
--- a/turmericrudder/steering/tracked_target.py
+++ b/turmericrudder/steering/tracked_target.py
@@ -54,6 +54,7 @@
         "_slowdown",
         "_slowdown_at",
         "_start_times",
+        "_trials_since",
         "cold",
         "ejected_until",
         "endpoint",
@@ -90,6 +91,7 @@
         self._load_reported_at = 0.0
         self._slowdown = 1.0
         self._slowdown_at = 0.0
+        self._trials_since = 0.0
         self._start_times = {}  # attempt number -> time, oldest first
 
     @property
@@ -106,7 +108,9 @@
             return True
         may_exceed = has_waited and not self._has_failed_trial
         limit = self.trial_limit * (MAX_WAITED_FACTOR if may_exceed else 1)
-        return len(self._start_times) < limit
+        # What was sent before a pause may take long, and is no trial.
+        trials = [t for t in self._start_times.values() if t >= self._trials_since]
+        return len(trials) < limit
 
     def record_pause(self, seconds, now):
         """Record that the target wants no requests for some seconds.
@@ -121,6 +125,7 @@
             self.has_responded = False
             self._has_failed_trial = True
             self.trial_limit = 1
+            self._trials_since = self.notices.paused_until
         return is_new
 
     def record_valid_response(self, now):
